--- /dev/null
+++ b/org.peridotroute.http/src/org/peridotroute/http/HttpCaller.java
@@ -0,0 +1,251 @@
+package org.peridotroute.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.StringReadChannelListener;
+import io.undertow.util.StringWriteChannelListener;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioWorker;
+
+/**
+ * An HTTP client with JSON bodies and a pool of idle connections for each server. A connection on
+ * which a call gets no answer in time is closed, and the next call takes another. Started once and
+ * stopped once; safe for use by several threads.
+ */
+public final class HttpCaller {
+  private static final int BUFFER_BYTES = 16 * 1024;
+  private static final int MAX_IDLE_PER_SERVER = 8;
+  private static final String NO_ANSWER = "no answer from %s within %d ms";
+
+  private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
+  private final Map<String, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+  private final AtomicInteger open = new AtomicInteger();
+  private XnioWorker worker;
+
+  /** Starts the thread that reads and writes. */
+  public void start() {
+    try {
+      worker =
+          Xnio.getInstance()
+              .createWorker(
+                  OptionMap.builder()
+                      .set(Options.WORKER_IO_THREADS, 1)
+                      .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                      .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                      .set(Options.WORKER_NAME, "http-caller")
+                      .set(Options.THREAD_DAEMON, true)
+                      .set(Options.TCP_NODELAY, true)
+                      .getMap());
+    } catch (IOException e) {
+      throw new IllegalStateException("the thread of the HTTP client does not start", e);
+    }
+  }
+
+  /** Closes all connections. Calls under way fail. */
+  public void stop() {
+    worker.shutdownNow();
+  }
+
+  /** Returns the number of connections that are open. */
+  public int openConnections() {
+    return open.get();
+  }
+
+  /**
+   * Makes a call.
+   *
+   * @param method the method
+   * @param url the URL
+   * @param body the body, null for none
+   * @param timeoutMillis the longest wait, connecting included
+   * @return completes with the answer, whatever its status; fails with {@link IOException} if there
+   *     is none, and then nobody knows whether the call had an effect, except with {@link
+   *     ConnectException}, when nothing was sent
+   */
+  public CompletableFuture<HttpReply> call(
+      String method, String url, String body, long timeoutMillis) {
+    URI uri = URI.create(url);
+    Call call = new Call(method, uri, body, timeoutMillis);
+    call.begin();
+    return call.reply;
+  }
+
+  private ClientConnection takeIdle(String server) {
+    Deque<ClientConnection> connections = idle.get(server);
+    if (connections == null) {
+      return null;
+    }
+    ClientConnection connection = connections.pollFirst();
+    while (connection != null && !connection.isOpen()) {
+      connection = connections.pollFirst();
+    }
+    return connection;
+  }
+
+  private void giveIdle(String server, ClientConnection connection) {
+    Deque<ClientConnection> connections =
+        idle.computeIfAbsent(server, key -> new ConcurrentLinkedDeque<>());
+    if (connections.size() >= MAX_IDLE_PER_SERVER || !connection.isOpen()) {
+      IoUtils.safeClose(connection);
+    } else {
+      connections.addFirst(connection);
+    }
+  }
+
+  /** One call, from its connection to its answer. Lives for the request. */
+  private final class Call {
+    private final String method;
+    private final URI uri;
+    private final String body;
+    private final long timeoutMillis;
+    private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+    private volatile ClientConnection connection;
+    private volatile XnioExecutor.Key timer;
+
+    Call(String method, URI uri, String body, long timeoutMillis) {
+      this.method = method;
+      this.uri = uri;
+      this.body = body;
+      this.timeoutMillis = timeoutMillis;
+    }
+
+    void begin() {
+      timer =
+          worker
+              .getIoThread()
+              .executeAfter(
+                  () ->
+                      fail(new IOException(NO_ANSWER.formatted(uri.getAuthority(), timeoutMillis))),
+                  timeoutMillis,
+                  TimeUnit.MILLISECONDS);
+      ClientConnection pooled = takeIdle(uri.getAuthority());
+      if (pooled != null) {
+        send(pooled);
+        return;
+      }
+      UndertowClient.getInstance()
+          .connect(
+              new ClientCallback<>() {
+                @Override
+                public void completed(ClientConnection fresh) {
+                  open.incrementAndGet();
+                  fresh.getCloseSetter().set(channel -> open.decrementAndGet());
+                  send(fresh);
+                }
+
+                @Override
+                public void failed(IOException e) {
+                  ConnectException refused = new ConnectException(e.getMessage());
+                  refused.initCause(e);
+                  fail(refused);
+                }
+              },
+              URI.create("http://" + uri.getAuthority()),
+              worker,
+              buffers,
+              OptionMap.EMPTY);
+    }
+
+    private void send(ClientConnection to) {
+      connection = to;
+      if (reply.isDone()) {
+        IoUtils.safeClose(to);
+        return;
+      }
+      to.getIoThread().execute(() -> to.sendRequest(request(), new OnExchange()));
+    }
+
+    private ClientRequest request() {
+      String query = uri.getRawQuery();
+      String path = uri.getRawPath();
+      ClientRequest request =
+          new ClientRequest()
+              .setMethod(new HttpString(method))
+              .setPath(query == null ? path : path + "?" + query);
+      request.getRequestHeaders().put(Headers.HOST, uri.getAuthority());
+      if (body != null) {
+        int length = body.getBytes(StandardCharsets.UTF_8).length;
+        request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(length));
+      }
+      return request;
+    }
+
+    private void succeed(HttpReply answer) {
+      timer.remove();
+      if (reply.complete(answer)) {
+        giveIdle(uri.getAuthority(), connection);
+      }
+    }
+
+    private void fail(IOException failure) {
+      timer.remove();
+      reply.completeExceptionally(failure);
+      IoUtils.safeClose(connection);
+    }
+
+    /** Writes the body and reads the answer. */
+    private final class OnExchange implements ClientCallback<ClientExchange> {
+      @Override
+      public void completed(ClientExchange exchange) {
+        exchange.setResponseListener(
+            new ClientCallback<>() {
+              @Override
+              public void completed(ClientExchange answered) {
+                readBody(answered);
+              }
+
+              @Override
+              public void failed(IOException e) {
+                fail(e);
+              }
+            });
+        if (body != null) {
+          new StringWriteChannelListener(body, StandardCharsets.UTF_8)
+              .setup(exchange.getRequestChannel());
+        }
+      }
+
+      @Override
+      public void failed(IOException e) {
+        fail(e);
+      }
+
+      private void readBody(ClientExchange exchange) {
+        int status = exchange.getResponse().getResponseCode();
+        new StringReadChannelListener(buffers) {
+          @Override
+          protected void stringDone(String text) {
+            succeed(new HttpReply(status, text));
+          }
+
+          @Override
+          protected void error(IOException e) {
+            fail(e);
+          }
+        }.setup(exchange.getResponseChannel());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/PeridotrouteMain.java
@@ -0,0 +1,30 @@
+package org.peridotroute.pgm;
+
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.help.Help;
+
+/** Entry point of {@code peridotroute}, the process on an entry VM. */
+@Cli(
+    name = "peridotroute",
+    description = "scheduler for multi-accelerator jobs under organisation guarantees",
+    defaultCommand = Help.class,
+    commands = {
+      Help.class,
+      ServeCommand.class,
+      CheckCommand.class,
+      DevCommand.class,
+      PlatformCommand.class,
+      SettingsSchemaCommand.class
+    })
+public final class PeridotrouteMain {
+  private PeridotrouteMain() {}
+
+  /**
+   * Runs a command and exits with its code.
+   *
+   * @param arguments the command line
+   */
+  public static void main(String[] arguments) {
+    System.exit(CommandRunner.run(PeridotrouteMain.class, Console.SYSTEM, arguments));
+  }
+}
--- /dev/null
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** The command lines of the two binaries, one class for each command. */
+package org.peridotroute.pgm;
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
@@ -0,0 +1,288 @@
+package org.peridotroute.server;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.peridotroute.control.Planner;
+import org.peridotroute.control.Proposals;
+import org.peridotroute.control.RecordSink;
+import org.peridotroute.fold.JobFold;
+import org.peridotroute.http.HttpCaller;
+import org.peridotroute.http.HttpReply;
+import org.peridotroute.http.HttpService;
+import org.peridotroute.http.Json;
+import org.peridotroute.lib.Incarnation;
+import org.peridotroute.platform.LogClient;
+import org.peridotroute.policy.GuaranteedBestFit;
+import org.peridotroute.server.api.ApiErrors;
+import org.peridotroute.server.api.ApiException;
+import org.peridotroute.server.api.ClusterResource;
+import org.peridotroute.server.api.Committer;
+import org.peridotroute.server.api.ErrorCode;
+import org.peridotroute.server.api.JobResource;
+import org.peridotroute.server.api.OrganisationResource;
+import org.peridotroute.server.client.HttpDirectoryClient;
+import org.peridotroute.server.client.HttpLogClient;
+import org.peridotroute.server.client.HttpWorkerGateway;
+import org.peridotroute.server.ring.DutyRing;
+import org.peridotroute.server.service.DirectoryService;
+import org.peridotroute.server.service.DriverService;
+import org.peridotroute.server.service.Event;
+import org.peridotroute.server.service.FoldService;
+import org.peridotroute.server.service.FoldedState;
+import org.peridotroute.server.service.LogWriterService;
+import org.peridotroute.server.service.LoggingSink;
+import org.peridotroute.server.service.PlannerService;
+import org.peridotroute.server.service.ProcessHealth;
+import org.peridotroute.server.service.Streams;
+import org.peridotroute.server.settings.Setting;
+import org.peridotroute.server.settings.Settings;
+
+/**
+ * One process on an entry VM: all its services, wired. Started once and stopped once, by the same
+ * thread.
+ */
+public final class EntryVm {
+  private static final System.Logger LOGGER = System.getLogger(EntryVm.class.getName());
+  private static final int INCARNATION_BYTES = 8;
+
+  private final Settings settings;
+  private final Incarnation incarnation = newIncarnation();
+  private final ProcessHealth health = new ProcessHealth();
+  private final FoldedState state = new FoldedState();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final CompletableFuture<Throwable> brokenInvariant = new CompletableFuture<>();
+  private final Proposals journalProposals = new Proposals(incarnation);
+  private final Proposals configProposals = new Proposals(incarnation);
+  private final HttpCaller caller = new HttpCaller();
+  private final DirectoryService directory;
+  private final LogWriterService journalWriter;
+  private final LogWriterService configWriter;
+  private final FoldService fold;
+  private final PlannerService planner;
+  private final DriverService driver;
+  private final HttpService http;
+
+  /**
+   * Wires a process.
+   *
+   * @param settings its settings
+   */
+  public EntryVm(Settings settings) {
+    this.settings = settings;
+    long timeoutMillis = settings.number(Setting.PLATFORM_TIMEOUT);
+    String platformUrl = settings.text(Setting.PLATFORM_URL);
+    LogClient log = new HttpLogClient(caller, platformUrl, timeoutMillis);
+    directory =
+        new DirectoryService(
+            new HttpDirectoryClient(caller, platformUrl, timeoutMillis),
+            health,
+            settings.number(Setting.PLATFORM_LIST),
+            this::signal);
+    journalWriter = newWriter(Streams.JOURNAL, log, journalProposals);
+    configWriter = newWriter(Streams.CONFIG, log, configProposals);
+    fold =
+        new FoldService(
+            log,
+            state,
+            health,
+            journalProposals,
+            configProposals,
+            this::signal,
+            brokenInvariant::complete);
+    RecordSink journal = new LoggingSink(settings.vmId(), journalWriter);
+    planner = newPlanner(journal);
+    HttpWorkerGateway gateway =
+        new HttpWorkerGateway(caller, directory::directory, settings.number(Setting.GANG_CALL));
+    driver =
+        new DriverService(
+            settings.vmId(),
+            settings.gangTimes(),
+            state,
+            directory,
+            health,
+            gateway,
+            journal,
+            brokenInvariant::complete);
+    http = newHttp(journal, new LoggingSink(settings.vmId(), configWriter));
+    addMetrics();
+  }
+
+  /** Starts all services, the resource API last. */
+  public void start() {
+    caller.start();
+    directory.start();
+    fold.start();
+    journalWriter.start();
+    configWriter.start();
+    planner.start();
+    driver.start();
+    http.start();
+    Event.of("started")
+        .with("vm", settings.vmId())
+        .with("incarnation", incarnation)
+        .with("url", http.url())
+        .log(LOGGER, System.Logger.Level.INFO);
+  }
+
+  /**
+   * Stops gracefully: says that it leaves, goes on until the balancer and the other VMs have seen
+   * that, lets requests in flight end, then stops.
+   */
+  public void stop() {
+    Event.of("leaving").with("vm", settings.vmId()).log(LOGGER, System.Logger.Level.INFO);
+    health.leave();
+    sleep(settings.number(Setting.API_LEAVE));
+    state.jobHistory().close();
+    state.organisationHistory().close();
+    http.stop(settings.number(Setting.API_DRAIN));
+    planner.stop();
+    driver.stop();
+    journalWriter.stop();
+    configWriter.stop();
+    fold.stop();
+    directory.stop();
+    caller.stop();
+    Event.of("stopped").with("vm", settings.vmId()).log(LOGGER, System.Logger.Level.INFO);
+  }
+
+  /** Returns the URL of the resource API, once started. */
+  public String url() {
+    return http.url();
+  }
+
+  /** Returns whether the process takes part. */
+  public ProcessHealth health() {
+    return health;
+  }
+
+  /** Completes with the cause if an invariant breaks, upon which the process must stop. */
+  public CompletableFuture<Throwable> brokenInvariant() {
+    return brokenInvariant;
+  }
+
+  /** Returns the whole state of the process. */
+  public Dump dump() {
+    List<DutyRing<?>> rings =
+        List.of(
+            fold.ring(), journalWriter.ring(), configWriter.ring(), planner.ring(), driver.ring());
+    return new Dump(
+        settings.vmId(),
+        incarnation.value(),
+        health.reasons(),
+        state.jobs().offset(),
+        state.config().offset(),
+        state.jobs().planner(),
+        planner.planner().isMine(state.jobs()),
+        planner.planner().pendingProposals(),
+        journalProposals.size() + configProposals.size(),
+        driver.driver().size(),
+        caller.openConnections(),
+        rings.stream()
+            .map(ring -> new Dump.RingFill(ring.name(), ring.slots(), ring.used()))
+            .toList(),
+        JobFold.faults(state.jobs()).stream().sorted().toList(),
+        directory.directory().vms(),
+        List.copyOf(state.jobs().jobs().values()),
+        List.copyOf(state.jobs().allocations().values()),
+        settings.inForce());
+  }
+
+  private static Incarnation newIncarnation() {
+    byte[] random = new byte[INCARNATION_BYTES];
+    new SecureRandom().nextBytes(random);
+    return new Incarnation("i" + HexFormat.of().formatHex(random));
+  }
+
+  private LogWriterService newWriter(String stream, LogClient log, Proposals proposals) {
+    return LogWriterService.newBuilder(stream, log, proposals)
+        .setSlots((int) settings.number(Setting.LOG_SLOTS))
+        .setMaxRecords((int) settings.number(Setting.LOG_BATCH))
+        .setAppendsPerSecond((int) settings.number(Setting.LOG_APPENDS))
+        .setStallMillis(settings.number(Setting.LOG_STALL))
+        .setOnBrokenInvariant(brokenInvariant::complete)
+        .build();
+  }
+
+  private PlannerService newPlanner(RecordSink journal) {
+    GuaranteedBestFit policy = new GuaranteedBestFit(settings.number(Setting.PLANNER_HOLD_RACK));
+    Planner role =
+        new Planner(settings.vmId(), incarnation, settings.plannerTimes(), policy, journal);
+    return new PlannerService(role, state, directory, health, brokenInvariant::complete);
+  }
+
+  private HttpService newHttp(RecordSink journal, RecordSink config) {
+    long timeoutMillis = settings.number(Setting.API_COMMIT_TIMEOUT);
+    HttpService.Builder builder =
+        HttpService.newBuilder(
+                settings.text(Setting.API_HOST), (int) settings.number(Setting.API_PORT))
+            .setWorkerThreads((int) settings.number(Setting.API_THREADS))
+            .setMaxBodyBytes(settings.number(Setting.API_MAX_BODY))
+            .setIdPrefix(settings.vmId().value())
+            .setErrors(new ApiErrors());
+    new JobResource(
+            state,
+            directory::directory,
+            new Committer(journal, journalWriter, health, timeoutMillis))
+        .addTo(builder);
+    new OrganisationResource(state, new Committer(config, configWriter, health, timeoutMillis))
+        .addTo(builder);
+    new ClusterResource(state, directory::directory).addTo(builder);
+    return builder
+        .route("GET", "/v1/health", request -> healthReply())
+        .route("GET", "/v1/dump", request -> HttpReply.ok(dump()))
+        .route("GET", "/v1/metrics", request -> HttpReply.ok(metricValues()))
+        .fallback(
+            request -> {
+              throw new ApiException(
+                  ErrorCode.NO_SUCH_PATH, "no " + request.method() + " on " + request.path());
+            })
+        .build();
+  }
+
+  private HttpReply healthReply() {
+    List<String> reasons = health.reasons();
+    return new HttpReply(reasons.isEmpty() ? HttpReply.OK : 503, Json.write(reasons));
+  }
+
+  private void addMetrics() {
+    gauge("journal.offset", () -> state.jobs().offset());
+    gauge("journal.appends", journalWriter::appends);
+    gauge("journal.records", journalWriter::records);
+    gauge("config.offset", () -> state.config().offset());
+    gauge("jobs.open", () -> state.jobs().jobs().size() - state.jobs().ended().size());
+    gauge("accelerators.held", () -> state.jobs().holders().size());
+    gauge("driver.gangs", driver.driver()::size);
+    gauge("http.connections", caller::openConnections);
+  }
+
+  private <T extends Number> void gauge(String name, Gauge<T> gauge) {
+    metrics.registerGauge(name, gauge);
+  }
+
+  private Map<String, Object> metricValues() {
+    Map<String, Object> values = new TreeMap<>();
+    metrics.getGauges().forEach((name, gauge) -> values.put(name, gauge.getValue()));
+    return values;
+  }
+
+  private void signal() {
+    if (planner != null && driver != null) {
+      planner.signal();
+      driver.signal();
+    }
+  }
+
+  private static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/JobResource.java
@@ -0,0 +1,184 @@
+package org.peridotroute.server.api;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Supplier;
+import org.peridotroute.fold.ConfigState;
+import org.peridotroute.fold.Job;
+import org.peridotroute.fold.JobState;
+import org.peridotroute.fold.Outcome;
+import org.peridotroute.fold.Verdict;
+import org.peridotroute.http.HttpReply;
+import org.peridotroute.http.HttpRequest;
+import org.peridotroute.http.HttpService;
+import org.peridotroute.http.Json;
+import org.peridotroute.journal.LogRecord;
+import org.peridotroute.lib.Answer;
+import org.peridotroute.lib.Directory;
+import org.peridotroute.lib.JobKey;
+import org.peridotroute.lib.JobSpec;
+import org.peridotroute.lib.OrganisationId;
+import org.peridotroute.policy.Guarantees;
+import org.peridotroute.policy.Room;
+import org.peridotroute.server.service.FoldedState;
+import org.peridotroute.server.service.History;
+import org.peridotroute.server.view.AnswerView;
+import org.peridotroute.server.view.JobView;
+import org.peridotroute.server.view.Page;
+
+/** Jobs: put, get, list, cancel, answer, watch. Safe for use by several threads. */
+public final class JobResource {
+  private static final String JOB = "/v1/organisations/{organisation}/jobs/{job}";
+  private static final int MAX_PAGE = 500;
+  private static final long MAX_WAIT_MILLIS = 30_000;
+
+  private final FoldedState state;
+  private final Supplier<Directory> directory;
+  private final Committer committer;
+
+  /**
+   * Creates the resource.
+   *
+   * @param state the folded state
+   * @param directory the list of workers
+   * @param committer what proposes changes
+   */
+  public JobResource(FoldedState state, Supplier<Directory> directory, Committer committer) {
+    this.state = state;
+    this.directory = directory;
+    this.committer = committer;
+  }
+
+  /**
+   * Adds the routes.
+   *
+   * @param http the server
+   */
+  public void addTo(HttpService.Builder http) {
+    http.route("PUT", JOB, this::put)
+        .route("GET", JOB, request -> HttpReply.ok(view(find(request))))
+        .route("DELETE", JOB, this::cancel)
+        .route("GET", JOB + "/answer", this::answer)
+        .route("GET", "/v1/jobs", this::list)
+        .route("GET", "/v1/watch/jobs", this::watch);
+  }
+
+  private HttpReply put(HttpRequest request) throws Exception {
+    JobKey key = Parameters.job(request);
+    JobSpec spec = Json.read(request.body(), JobSpec.class);
+    Job known = state.jobs().jobs().get(key);
+    if (known == null) {
+      checkCanEverRun(key, spec);
+    }
+    Verdict verdict = committer.commit(new LogRecord.JobSubmitted(key, spec, request.id()));
+    return switch (verdict) {
+      case ACCEPTED -> new HttpReply(HttpReply.CREATED, Json.write(view(find(request))));
+      case SAME_JOB -> HttpReply.ok(view(find(request)));
+      case NAME_TAKEN ->
+          throw new ApiException(ErrorCode.NAME_TAKEN, "job " + key + " exists with another spec");
+      case FULL -> throw new ApiException(ErrorCode.OVERLOADED, "too many jobs wait");
+      default -> throw new IllegalStateException("verdict on a submitted job: " + verdict);
+    };
+  }
+
+  private void checkCanEverRun(JobKey key, JobSpec spec) throws ApiException {
+    ConfigState.Declared owner = state.config().organisations().get(key.organisation());
+    if (owner == null) {
+      throw new ApiException(
+          ErrorCode.UNKNOWN_ORGANISATION,
+          "organisation " + key.organisation() + " is not declared");
+    }
+    if (Room.allFree(directory.get().workers()).find(spec.shape()).isEmpty()) {
+      throw new ApiException(
+          ErrorCode.IMPOSSIBLE_SHAPE,
+          "no "
+              + spec.shape().adjacency().name().toLowerCase(Locale.ROOT)
+              + " can hold shape "
+              + spec.shape()
+              + ", even when empty; the job was not run");
+    }
+    boolean guaranteed =
+        owner.organisation().guarantees().stream()
+            .anyMatch(guarantee -> Guarantees.holds(guarantee.shape(), spec.shape()));
+    if (!spec.idempotent() && !guaranteed) {
+      throw new ApiException(
+          ErrorCode.NO_GUARANTEE,
+          "job "
+              + key
+              + " is not idempotent, so it runs only inside a guarantee, and none of "
+              + key.organisation()
+              + " holds shape "
+              + spec.shape());
+    }
+  }
+
+  private HttpReply cancel(HttpRequest request) throws ApiException {
+    JobKey key = Parameters.job(request);
+    Verdict verdict = committer.commit(new LogRecord.CancelRequested(key, request.id()));
+    return switch (verdict) {
+      case ACCEPTED -> HttpReply.ok(view(find(request)));
+      case NOT_FOUND -> throw unknown(key);
+      default ->
+          throw new ApiException(
+              ErrorCode.ALREADY_ENDED, "job " + key + " has ended or is being cancelled");
+    };
+  }
+
+  private HttpReply answer(HttpRequest request) throws ApiException {
+    Job job = find(request);
+    if (job.outcome() != Outcome.SUCCEEDED) {
+      String how = job.isEnded() ? job.outcome().name() : job.phase().name();
+      throw new ApiException(
+          ErrorCode.NO_ANSWER,
+          "job " + job.key() + " has no answer; it is " + how.toLowerCase(Locale.ROOT));
+    }
+    Answer answer = job.answer();
+    int bytes = answer.body().getBytes(StandardCharsets.UTF_8).length;
+    return HttpReply.ok(new AnswerView(answer.body(), bytes, answer.sha256()));
+  }
+
+  private HttpReply list(HttpRequest request) {
+    JobState jobs = state.jobs();
+    String after = request.parameter("after");
+    OrganisationId owner =
+        request.parameter("organisation") == null ? null : Parameters.organisation(request);
+    int limit = (int) Parameters.number(request, "limit", MAX_PAGE, MAX_PAGE);
+    List<JobView> views =
+        jobs.jobs().values().stream()
+            .filter(job -> owner == null || job.key().organisation().equals(owner))
+            .filter(job -> after == null || job.key().toString().compareTo(after) > 0)
+            .limit(limit + 1L)
+            .map(job -> JobView.of(job, jobs))
+            .toList();
+    boolean more = views.size() > limit;
+    List<JobView> shown = more ? views.subList(0, limit) : views;
+    String next = more ? name(shown.get(limit - 1)) : null;
+    return HttpReply.ok(new Page<>(shown, jobs.offset(), next));
+  }
+
+  private static String name(JobView view) {
+    return view.organisation() + "/" + view.name();
+  }
+
+  private HttpReply watch(HttpRequest request) throws ApiException {
+    long now = state.jobs().offset();
+    long from = Parameters.number(request, "from", now, Long.MAX_VALUE);
+    long waitMillis = Parameters.number(request, "waitMillis", MAX_WAIT_MILLIS, MAX_WAIT_MILLIS);
+    History.Page<JobView> page = state.jobHistory().after(from, waitMillis);
+    return WatchReply.of(page, from);
+  }
+
+  private Job find(HttpRequest request) throws ApiException {
+    JobKey key = Parameters.job(request);
+    return state.jobs().job(key).orElseThrow(() -> unknown(key));
+  }
+
+  private static ApiException unknown(JobKey key) {
+    return new ApiException(ErrorCode.UNKNOWN_JOB, "there is no job " + key);
+  }
+
+  private JobView view(Job job) {
+    return JobView.of(job, state.jobs());
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/OrganisationResource.java
@@ -0,0 +1,126 @@
+package org.peridotroute.server.api;
+
+import java.util.List;
+import org.peridotroute.fold.ConfigState;
+import org.peridotroute.fold.Verdict;
+import org.peridotroute.http.HttpReply;
+import org.peridotroute.http.HttpRequest;
+import org.peridotroute.http.HttpService;
+import org.peridotroute.http.Json;
+import org.peridotroute.journal.LogRecord;
+import org.peridotroute.lib.Organisation;
+import org.peridotroute.lib.OrganisationId;
+import org.peridotroute.server.service.FoldedState;
+import org.peridotroute.server.service.History;
+import org.peridotroute.server.view.OrganisationView;
+import org.peridotroute.server.view.Page;
+
+/** Organisations: put, get, list, delete, watch. Safe for use by several threads. */
+public final class OrganisationResource {
+  private static final String ORGANISATION = "/v1/organisations/{organisation}";
+  private static final long MAX_WAIT_MILLIS = 30_000;
+
+  private final FoldedState state;
+  private final Committer committer;
+
+  /**
+   * Creates the resource.
+   *
+   * @param state the folded state
+   * @param committer what proposes changes to the configuration
+   */
+  public OrganisationResource(FoldedState state, Committer committer) {
+    this.state = state;
+    this.committer = committer;
+  }
+
+  /**
+   * Adds the routes.
+   *
+   * @param http the server
+   */
+  public void addTo(HttpService.Builder http) {
+    http.route("PUT", ORGANISATION, this::put)
+        .route("GET", ORGANISATION, this::get)
+        .route("DELETE", ORGANISATION, this::delete)
+        .route("GET", "/v1/organisations", request -> list())
+        .route("GET", "/v1/watch/organisations", this::watch);
+  }
+
+  private HttpReply put(HttpRequest request) throws Exception {
+    OrganisationId id = Parameters.organisation(request);
+    Organisation organisation = Json.read(request.body(), Organisation.class);
+    long expected = expectedRevision(request, id);
+    Verdict verdict = committer.commit(new LogRecord.OrganisationPut(id, organisation, expected));
+    return switch (verdict) {
+      case ACCEPTED -> get(request);
+      case LOST_RACE -> throw lostRace(id, expected);
+      case FULL -> throw new ApiException(ErrorCode.OVERLOADED, "too many organisations");
+      default -> throw new IllegalStateException("verdict on an organisation: " + verdict);
+    };
+  }
+
+  private HttpReply delete(HttpRequest request) throws ApiException {
+    OrganisationId id = Parameters.organisation(request);
+    long expected = expectedRevision(request, id);
+    boolean busy =
+        state.jobs().jobs().values().stream()
+            .anyMatch(job -> job.key().organisation().equals(id) && !job.isEnded());
+    if (busy) {
+      throw new ApiException(
+          ErrorCode.IN_USE, "organisation " + id + " has jobs that have not ended");
+    }
+    Verdict verdict = committer.commit(new LogRecord.OrganisationDeleted(id, expected));
+    return switch (verdict) {
+      case ACCEPTED -> HttpReply.ok(List.of());
+      case NOT_FOUND -> throw unknown(id);
+      default -> throw lostRace(id, expected);
+    };
+  }
+
+  private HttpReply get(HttpRequest request) throws ApiException {
+    OrganisationId id = Parameters.organisation(request);
+    ConfigState.Declared declared = state.config().organisations().get(id);
+    if (declared == null) {
+      throw unknown(id);
+    }
+    return HttpReply.ok(view(id, declared));
+  }
+
+  private HttpReply list() {
+    ConfigState config = state.config();
+    List<OrganisationView> views =
+        config.organisations().entrySet().stream()
+            .map(entry -> view(entry.getKey(), entry.getValue()))
+            .toList();
+    return HttpReply.ok(new Page<>(views, config.offset(), null));
+  }
+
+  private HttpReply watch(HttpRequest request) throws ApiException {
+    long from = Parameters.number(request, "from", state.config().offset(), Long.MAX_VALUE);
+    long waitMillis = Parameters.number(request, "waitMillis", MAX_WAIT_MILLIS, MAX_WAIT_MILLIS);
+    History.Page<Organisation> page = state.organisationHistory().after(from, waitMillis);
+    return WatchReply.of(page, from);
+  }
+
+  private long expectedRevision(HttpRequest request, OrganisationId id) {
+    ConfigState.Declared known = state.config().organisations().get(id);
+    long current = known == null ? 0 : known.revision();
+    return Parameters.number(request, "revision", current, Long.MAX_VALUE);
+  }
+
+  private static OrganisationView view(OrganisationId id, ConfigState.Declared declared) {
+    return new OrganisationView(id, declared.revision(), declared.organisation());
+  }
+
+  private static ApiException unknown(OrganisationId id) {
+    return new ApiException(
+        ErrorCode.UNKNOWN_ORGANISATION, "organisation " + id + " is not declared");
+  }
+
+  private static ApiException lostRace(OrganisationId id, long expected) {
+    return new ApiException(
+        ErrorCode.LOST_RACE,
+        "organisation " + id + " was changed by somebody else since revision " + expected);
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/WatchReply.java
@@ -0,0 +1,25 @@
+package org.peridotroute.server.api;
+
+import org.peridotroute.http.HttpReply;
+import org.peridotroute.server.service.History;
+import org.peridotroute.server.view.WatchView;
+
+/** Answers to watches. Stateless. */
+final class WatchReply {
+  private WatchReply() {}
+
+  static <T> HttpReply of(History.Page<T> page, long from) throws ApiException {
+    if (!page.complete()) {
+      throw new ApiException(
+          ErrorCode.REVISION_EXPIRED, "changes since revision " + from + " are gone; list again");
+    }
+    return HttpReply.ok(
+        new WatchView<>(
+            page.changes().stream()
+                .map(
+                    change ->
+                        new WatchView.Change<>(change.revision(), change.name(), change.resource()))
+                .toList(),
+            page.revision()));
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/DirectoryService.java
@@ -0,0 +1,80 @@
+package org.peridotroute.server.service;
+
+import java.util.concurrent.ExecutionException;
+import org.peridotroute.lib.Directory;
+import org.peridotroute.platform.DirectoryClient;
+
+/** Reads the platform's list on a thread of its own. The last good answer stands. */
+public final class DirectoryService {
+  private static final System.Logger LOGGER = System.getLogger(DirectoryService.class.getName());
+
+  private final DirectoryClient client;
+  private final ProcessHealth health;
+  private final long intervalMillis;
+  private final Runnable onChange;
+  private final Thread thread = new Thread(this::run, "directory");
+  private volatile Directory directory = Directory.EMPTY;
+  private boolean failing;
+
+  /**
+   * Creates the service.
+   *
+   * @param client the list
+   * @param health told when the list was read
+   * @param intervalMillis time between two reads
+   * @param onChange called when the list has changed
+   */
+  public DirectoryService(
+      DirectoryClient client, ProcessHealth health, long intervalMillis, Runnable onChange) {
+    this.client = client;
+    this.health = health;
+    this.intervalMillis = intervalMillis;
+    this.onChange = onChange;
+    thread.setDaemon(true);
+  }
+
+  /** Starts reading. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Stops reading. */
+  public void stop() {
+    thread.interrupt();
+  }
+
+  /** Returns the list as last read. */
+  public Directory directory() {
+    return directory;
+  }
+
+  private void run() {
+    try {
+      while (!Thread.currentThread().isInterrupted()) {
+        read();
+        Thread.sleep(intervalMillis);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void read() throws InterruptedException {
+    try {
+      Directory latest = client.read().get();
+      failing = false;
+      if (!latest.equals(directory)) {
+        directory = latest;
+        onChange.run();
+      }
+      health.directoryRead();
+    } catch (ExecutionException e) {
+      if (!failing) {
+        failing = true;
+        Event.of("list-read-failed")
+            .with("reason", e.getCause().getMessage())
+            .log(LOGGER, System.Logger.Level.WARNING);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/FoldService.java
@@ -0,0 +1,162 @@
+package org.peridotroute.server.service;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.peridotroute.control.Proposals;
+import org.peridotroute.fold.ConfigFold;
+import org.peridotroute.fold.ConfigState;
+import org.peridotroute.fold.Folded;
+import org.peridotroute.fold.JobFold;
+import org.peridotroute.fold.JobState;
+import org.peridotroute.journal.LogEntry;
+import org.peridotroute.journal.LogRecord;
+import org.peridotroute.lib.JobKey;
+import org.peridotroute.platform.LogClient;
+import org.peridotroute.server.ring.Duty;
+import org.peridotroute.server.ring.DutyRing;
+import org.peridotroute.server.view.JobView;
+
+/**
+ * Folds both streams on one thread, publishes each state, then tells the verdicts to whoever
+ * proposed the records.
+ */
+public final class FoldService implements Duty<StreamReader.ReadBatch> {
+  private static final int RING_SLOTS = 64;
+  private static final long TICK_MILLIS = 1_000;
+
+  private final FoldedState state;
+  private final ProcessHealth health;
+  private final Proposals journalProposals;
+  private final Proposals configProposals;
+  private final Runnable onChange;
+  private final DutyRing<StreamReader.ReadBatch> ring;
+  private final StreamReader journal;
+  private final StreamReader config;
+
+  /**
+   * Creates the service.
+   *
+   * @param log the log
+   * @param state where states are published
+   * @param health told when the streams were read to their ends
+   * @param journalProposals this process's proposals to the journal
+   * @param configProposals this process's proposals to the configuration
+   * @param onChange called after each published state
+   * @param onBrokenInvariant told when the fold throws
+   */
+  public FoldService(
+      LogClient log,
+      FoldedState state,
+      ProcessHealth health,
+      Proposals journalProposals,
+      Proposals configProposals,
+      Runnable onChange,
+      Consumer<Throwable> onBrokenInvariant) {
+    this.state = state;
+    this.health = health;
+    this.journalProposals = journalProposals;
+    this.configProposals = configProposals;
+    this.onChange = onChange;
+    ring = new DutyRing<>("fold", RING_SLOTS, TICK_MILLIS, this, onBrokenInvariant);
+    journal = new StreamReader(Streams.JOURNAL, state.jobs().offset() + 1, log, health, ring::put);
+    config = new StreamReader(Streams.CONFIG, state.config().offset() + 1, log, health, ring::put);
+  }
+
+  /** Starts folding and reading. */
+  public void start() {
+    ring.start();
+    config.start();
+    journal.start();
+  }
+
+  /** Stops reading and folding; open proposals fail as unknown. */
+  public void stop() {
+    journal.stop();
+    config.stop();
+    ring.stop();
+    journalProposals.abandon();
+    configProposals.abandon();
+  }
+
+  /** Returns the ring, for the dump. */
+  public DutyRing<StreamReader.ReadBatch> ring() {
+    return ring;
+  }
+
+  @Override
+  public void onEvent(StreamReader.ReadBatch batch) {
+    boolean isJournal = batch.stream().equals(Streams.JOURNAL);
+    for (LogEntry entry : batch.entries()) {
+      if (isJournal) {
+        foldJournal(entry);
+      } else {
+        foldConfig(entry);
+      }
+    }
+    if (isJournal && state.jobs().offset() + 1 >= batch.endOffset()) {
+      health.journalCaughtUp();
+    }
+    if (!isJournal && state.config().offset() + 1 >= batch.endOffset()) {
+      health.configCaughtUp();
+    }
+  }
+
+  @Override
+  public void onStep() {
+    onChange.run();
+  }
+
+  private void foldJournal(LogEntry entry) {
+    Folded<JobState> folded = JobFold.fold(state.jobs(), entry);
+    state.publish(folded.state());
+    if (folded.verdict().isAccepted()) {
+      changedJob(entry.envelope().record())
+          .flatMap(folded.state()::job)
+          .ifPresent(
+              job ->
+                  state
+                      .jobHistory()
+                      .add(entry.offset(), job.key().toString(), JobView.of(job, folded.state())));
+    }
+    journalProposals.resolve(entry, folded.verdict());
+  }
+
+  private void foldConfig(LogEntry entry) {
+    Folded<ConfigState> folded = ConfigFold.fold(state.config(), entry);
+    state.publish(folded.state());
+    LogRecord record = entry.envelope().record();
+    if (folded.verdict().isAccepted() && record instanceof LogRecord.OrganisationPut put) {
+      state.organisationHistory().add(entry.offset(), put.id().value(), put.organisation());
+    }
+    if (folded.verdict().isAccepted() && record instanceof LogRecord.OrganisationDeleted gone) {
+      state.organisationHistory().add(entry.offset(), gone.id().value(), null);
+    }
+    configProposals.resolve(entry, folded.verdict());
+  }
+
+  /** Returns the job that a record is about, if it is about one. */
+  static Optional<JobKey> changedJob(LogRecord record) {
+    if (record instanceof LogRecord.JobSubmitted submitted) {
+      return Optional.of(submitted.job());
+    }
+    if (record instanceof LogRecord.CancelRequested cancel) {
+      return Optional.of(cancel.job());
+    }
+    if (record instanceof LogRecord.Placed placed) {
+      return Optional.of(placed.job());
+    }
+    if (record instanceof LogRecord.ReclaimRequested reclaim) {
+      return Optional.of(reclaim.job());
+    }
+    if (record instanceof LogRecord.JobRefused refused) {
+      return Optional.of(refused.job());
+    }
+    if (record instanceof LogRecord.Started started) {
+      return Optional.of(started.job());
+    }
+    if (record instanceof LogRecord.AttemptEnded ended) {
+      return Optional.of(ended.job());
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/FoldedState.java
@@ -0,0 +1,47 @@
+package org.peridotroute.server.service;
+
+import org.peridotroute.fold.ConfigState;
+import org.peridotroute.fold.JobState;
+import org.peridotroute.lib.Organisation;
+import org.peridotroute.server.view.JobView;
+
+/**
+ * The folded state as the rest of the process sees it. Written by the fold's thread alone, read by
+ * any.
+ */
+public final class FoldedState {
+  private static final int HISTORY_CHANGES = 4_096;
+
+  private final History<JobView> jobHistory = new History<>(HISTORY_CHANGES);
+  private final History<Organisation> organisationHistory = new History<>(HISTORY_CHANGES);
+  private volatile JobState jobs = JobState.EMPTY;
+  private volatile ConfigState config = ConfigState.EMPTY;
+
+  /** Returns the folded journal. */
+  public JobState jobs() {
+    return jobs;
+  }
+
+  /** Returns the folded configuration. */
+  public ConfigState config() {
+    return config;
+  }
+
+  /** Returns the last changes of jobs. */
+  public History<JobView> jobHistory() {
+    return jobHistory;
+  }
+
+  /** Returns the last changes of organisations. */
+  public History<Organisation> organisationHistory() {
+    return organisationHistory;
+  }
+
+  void publish(JobState state) {
+    jobs = state;
+  }
+
+  void publish(ConfigState state) {
+    config = state;
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/PlannerService.java
@@ -0,0 +1,89 @@
+package org.peridotroute.server.service;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.peridotroute.control.Planner;
+import org.peridotroute.policy.ClusterView;
+import org.peridotroute.server.ring.Duty;
+import org.peridotroute.server.ring.DutyRing;
+
+/** Steps the planner's role on a thread of its own, when the state changes and at ticks. */
+public final class PlannerService implements Duty<PlannerService.Signal> {
+  private static final int RING_SLOTS = 16;
+  private static final long TICK_MILLIS = 100;
+
+  private final Planner planner;
+  private final FoldedState state;
+  private final DirectoryService directory;
+  private final ProcessHealth health;
+  private final DutyRing<Signal> ring;
+
+  /** Says that something has changed. */
+  public enum Signal {
+    /** The state or the list has changed. */
+    CHANGED
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param planner the role
+   * @param state the folded state
+   * @param directory the list
+   * @param health says whether the process may act
+   * @param onBrokenInvariant told when the role throws
+   */
+  public PlannerService(
+      Planner planner,
+      FoldedState state,
+      DirectoryService directory,
+      ProcessHealth health,
+      Consumer<Throwable> onBrokenInvariant) {
+    this.planner = planner;
+    this.state = state;
+    this.directory = directory;
+    this.health = health;
+    ring = new DutyRing<>("planner", RING_SLOTS, TICK_MILLIS, this, onBrokenInvariant);
+  }
+
+  /** Starts stepping. */
+  public void start() {
+    ring.start();
+  }
+
+  /** Stops stepping. */
+  public void stop() {
+    ring.stop();
+  }
+
+  /** Says that something has changed. Costs nothing if that was said already. */
+  public void signal() {
+    var unused = ring.offer(Signal.CHANGED);
+  }
+
+  /** Returns the role, for the dump. */
+  public Planner planner() {
+    return planner;
+  }
+
+  /** Returns the ring, for the dump. */
+  public DutyRing<Signal> ring() {
+    return ring;
+  }
+
+  @Override
+  public void onEvent(Signal signal) {
+    // What has changed is read from the state in the step that follows.
+  }
+
+  @Override
+  public void onStep() {
+    if (!health.canAct() || health.isLeaving()) {
+      return;
+    }
+    ClusterView view =
+        new ClusterView(
+            state.jobs(), state.config(), directory.directory(), System.currentTimeMillis());
+    planner.step(view, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/settings/SettingsFault.java
@@ -0,0 +1,16 @@
+package org.peridotroute.server.settings;
+
+/**
+ * Something wrong in a settings file.
+ *
+ * @param file the file
+ * @param path the place in it, such as "gang.leaseMillis"
+ * @param value what stands there
+ * @param allowed what may stand there
+ */
+public record SettingsFault(String file, String path, String value, String allowed) {
+  @Override
+  public String toString() {
+    return "%s: $.%s is %s; allowed is %s".formatted(file, path, value, allowed);
+  }
+}
--- /dev/null
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/WorkerStandIn.java
@@ -0,0 +1,211 @@
+package org.peridotroute.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.peridotroute.control.TaskCommand;
+import org.peridotroute.control.TaskReport;
+import org.peridotroute.control.TaskState;
+import org.peridotroute.lib.Answer;
+import org.peridotroute.lib.JobKey;
+import org.peridotroute.lib.WorkerInfo;
+
+/**
+ * A worker that runs trivial tasks under leases, with faults. Time is given with each call, so that
+ * it runs on a virtual clock too. Safe for use by several threads.
+ */
+public final class WorkerStandIn {
+  private static final int MAX_RUNS_KEPT = 10_000;
+
+  private final WorkerInfo info;
+  private final Map<TaskId, Task> tasks = new HashMap<>();
+  private final Map<Integer, Long> fences = new HashMap<>();
+  private final List<TaskRun> runs = new ArrayList<>();
+  private boolean failingAll;
+  private boolean unfenced;
+
+  /** Identity of a task here. */
+  private record TaskId(JobKey job, int member, long token) {}
+
+  /** A task that holds accelerators. */
+  private static final class Task {
+    private final List<Integer> accelerators;
+    private final TaskScript script;
+    private long expiresMillis;
+    private long startedMillis = -1;
+
+    Task(List<Integer> accelerators, TaskScript script) {
+      this.accelerators = accelerators;
+      this.script = script;
+    }
+  }
+
+  /**
+   * Creates a worker.
+   *
+   * @param info its description
+   */
+  public WorkerStandIn(WorkerInfo info) {
+    this.info = info;
+  }
+
+  /** Returns the worker's description. */
+  public WorkerInfo info() {
+    return info;
+  }
+
+  /**
+   * Carries a command out.
+   *
+   * @param command the command
+   * @param nowMillis the time
+   * @return the answer
+   */
+  public synchronized TaskReport handle(TaskCommand command, long nowMillis) {
+    expire(nowMillis);
+    TaskId id = new TaskId(command.job(), command.member(), command.token());
+    return switch (command.action()) {
+      case PREPARE -> prepare(id, command, nowMillis);
+      case START -> start(id, command, nowMillis);
+      case RENEW -> renew(id, command, nowMillis);
+      case RELEASE -> release(id, command);
+    };
+  }
+
+  /**
+   * Makes every task fail from now on, or no longer.
+   *
+   * @param value whether tasks fail
+   */
+  public synchronized void setFailingAll(boolean value) {
+    failingAll = value;
+  }
+
+  /**
+   * Takes the check of tokens out; only for tests that show what it is for.
+   *
+   * @param value whether lower tokens are let in
+   */
+  public synchronized void setUnfenced(boolean value) {
+    unfenced = value;
+  }
+
+  /** Loses every task and lease, as a restart does. */
+  public synchronized void restart() {
+    tasks.clear();
+  }
+
+  /** Returns the starts so far, the oldest first. */
+  public synchronized List<TaskRun> runs() {
+    return List.copyOf(runs);
+  }
+
+  /**
+   * Returns tokens of the tasks that run at a time, by job and member.
+   *
+   * @param nowMillis the time
+   * @return the running tasks
+   */
+  public synchronized List<TaskRun> running(long nowMillis) {
+    expire(nowMillis);
+    List<TaskRun> running = new ArrayList<>();
+    tasks.forEach(
+        (id, task) -> {
+          if (task.startedMillis >= 0 && !isOver(task, nowMillis)) {
+            running.add(new TaskRun(id.job(), id.member(), id.token(), task.startedMillis));
+          }
+        });
+    return running;
+  }
+
+  private void expire(long nowMillis) {
+    tasks.values().removeIf(task -> task.expiresMillis <= nowMillis);
+  }
+
+  private TaskReport prepare(TaskId id, TaskCommand command, long nowMillis) {
+    Task known = tasks.get(id);
+    if (known != null) {
+      known.expiresMillis = nowMillis + command.leaseMillis();
+      return report(id, known, command, nowMillis);
+    }
+    for (int accelerator : command.accelerators()) {
+      if (accelerator < 0 || accelerator >= info.accelerators()) {
+        return refuse(command, "no accelerator " + accelerator);
+      }
+      if (!unfenced && command.token() < fences.getOrDefault(accelerator, 0L)) {
+        return refuse(command, "accelerator " + accelerator + " is held by a higher token");
+      }
+    }
+    fence(command.accelerators(), command.token());
+    if (!unfenced) {
+      tasks.values().removeIf(task -> overlaps(task, command.accelerators()));
+    }
+    Task task = new Task(command.accelerators(), TaskScript.parse(command.payload()));
+    task.expiresMillis = nowMillis + command.leaseMillis();
+    tasks.put(id, task);
+    return TaskReport.of(TaskState.PREPARED, command);
+  }
+
+  private static boolean overlaps(Task task, List<Integer> accelerators) {
+    return task.accelerators.stream().anyMatch(accelerators::contains);
+  }
+
+  private void fence(List<Integer> accelerators, long token) {
+    accelerators.forEach(accelerator -> fences.merge(accelerator, token, Math::max));
+  }
+
+  private TaskReport start(TaskId id, TaskCommand command, long nowMillis) {
+    Task task = tasks.get(id);
+    if (task == null) {
+      return TaskReport.of(TaskState.NOT_HELD, command);
+    }
+    task.expiresMillis = nowMillis + command.leaseMillis();
+    if (task.startedMillis < 0) {
+      task.startedMillis = nowMillis;
+      if (runs.size() < MAX_RUNS_KEPT) {
+        runs.add(new TaskRun(id.job(), id.member(), id.token(), nowMillis));
+      }
+    }
+    return report(id, task, command, nowMillis);
+  }
+
+  private TaskReport renew(TaskId id, TaskCommand command, long nowMillis) {
+    Task task = tasks.get(id);
+    if (task == null) {
+      return TaskReport.of(TaskState.NOT_HELD, command);
+    }
+    task.expiresMillis = nowMillis + command.leaseMillis();
+    return report(id, task, command, nowMillis);
+  }
+
+  /** Forgets the task and lets no command of its token in again, should one come late. */
+  private TaskReport release(TaskId id, TaskCommand command) {
+    tasks.remove(id);
+    fence(command.accelerators(), command.token() + 1);
+    return TaskReport.of(TaskState.RELEASED, command);
+  }
+
+  private TaskReport report(TaskId id, Task task, TaskCommand command, long nowMillis) {
+    if (task.startedMillis < 0) {
+      return TaskReport.of(TaskState.PREPARED, command);
+    }
+    if (!isOver(task, nowMillis)) {
+      return TaskReport.of(TaskState.RUNNING, command);
+    }
+    if (failingAll || task.script.failingMember() == id.member()) {
+      return new TaskReport(
+          TaskState.FAILED, id.token(), id.member(), null, "the task failed on " + info.id());
+    }
+    Answer output = Answer.of("member " + id.member() + ": " + task.script.echo());
+    return new TaskReport(TaskState.SUCCEEDED, id.token(), id.member(), output, null);
+  }
+
+  private boolean isOver(Task task, long nowMillis) {
+    return failingAll || nowMillis - task.startedMillis >= task.script.runMillis();
+  }
+
+  private static TaskReport refuse(TaskCommand command, String reason) {
+    return new TaskReport(TaskState.REFUSED, command.token(), command.member(), null, reason);
+  }
+}
--- /dev/null
+++ b/org.peridotroute/src/org/peridotroute/control/GangDriver.java
@@ -0,0 +1,74 @@
+package org.peridotroute.control;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import org.peridotroute.fold.Allocation;
+import org.peridotroute.fold.JobState;
+import org.peridotroute.lib.VmId;
+
+/**
+ * Drives the gangs that fall to one VM: prepares all members, has the start logged, starts them,
+ * renews their leases together and ends them together. Which VM drives a gang is settled by {@link
+ * Rendezvous}; that two act at once is safe, since each command is idempotent by token and each
+ * record is checked by the fold.
+ *
+ * <p>Stepped by one thread, the same that the executor runs continuations on.
+ */
+public final class GangDriver {
+  private final VmId self;
+  private final GangTimes times;
+  private final WorkerGateway gateway;
+  private final RecordSink sink;
+  private final Executor continuations;
+  private final Map<Long, Gang> gangs = new TreeMap<>();
+
+  /**
+   * Creates the driver.
+   *
+   * @param self the VM
+   * @param times times of gangs
+   * @param gateway the way to workers
+   * @param sink where records are proposed
+   * @param continuations runs what follows an answer on the thread that steps the driver
+   */
+  public GangDriver(
+      VmId self, GangTimes times, WorkerGateway gateway, RecordSink sink, Executor continuations) {
+    this.self = self;
+    this.times = times;
+    this.gateway = gateway;
+    this.sink = sink;
+    this.continuations = continuations;
+  }
+
+  /**
+   * Does what is due for each gang of this VM.
+   *
+   * @param state the latest state
+   * @param candidates VMs that can drive, in the view of this one
+   * @param nowMillis monotonic time
+   */
+  public void step(JobState state, Collection<VmId> candidates, long nowMillis) {
+    gangs.keySet().retainAll(state.allocations().keySet());
+    for (Allocation allocation : state.allocations().values()) {
+      boolean mine = Rendezvous.pick(allocation.job(), candidates).filter(self::equals).isPresent();
+      if (mine) {
+        gangs
+            .computeIfAbsent(allocation.token(), token -> newGang(allocation, nowMillis))
+            .step(state.jobs().get(allocation.job()), allocation, nowMillis);
+      } else {
+        gangs.remove(allocation.token());
+      }
+    }
+  }
+
+  /** Returns the number of gangs that this VM drives. */
+  public int size() {
+    return gangs.size();
+  }
+
+  private Gang newGang(Allocation allocation, long nowMillis) {
+    return new Gang(allocation, times, gateway, sink, continuations, nowMillis);
+  }
+}
--- /dev/null
+++ b/org.peridotroute/src/org/peridotroute/errors/Messages.java
@@ -0,0 +1,24 @@
+package org.peridotroute.errors;
+
+/** Texts of the exceptions of this package, kept in one place. */
+final class Messages {
+  static final String INVALID_NAME =
+      "%s \"%s\" is not valid: use 1 to 63 of a-z, 0-9 and '-', with no '-' at either end";
+  static final String OUT_OF_RANGE = "%s is %d; allowed is %d to %d";
+  static final String MISSING = "%s is missing";
+  static final String TOO_LONG = "%s has %d bytes; allowed are %d";
+  static final String UNKNOWN_VERSION =
+      "the record at offset %d of stream \"%s\" has version %d; this process knows up to %d";
+  static final String UNREADABLE_RECORD =
+      "the record at offset %d of stream \"%s\" is unreadable: %s";
+  static final String RING_FULL = "the ring \"%s\" is full; nothing was sent";
+  static final String STOPPING = "\"%s\" is stopping; nothing was sent";
+  static final String WORKER_UNREACHABLE = "worker \"%s\" did not answer: %s";
+  static final String LOG_UNAVAILABLE = "the log at %s did not take or give records: %s";
+  static final String RECORDS_EXPIRED =
+      "offset %d of stream \"%s\" is past retention; the earliest kept is %d";
+  static final String OUTCOME_UNKNOWN =
+      "the record was sent but not read back; whether it took effect is unknown";
+
+  private Messages() {}
+}
--- /dev/null
+++ b/org.peridotroute/src/org/peridotroute/fold/ConfigFold.java
@@ -0,0 +1,82 @@
+package org.peridotroute.fold;
+
+import org.pcollections.TreePMap;
+import org.peridotroute.journal.Envelope;
+import org.peridotroute.journal.LogEntry;
+import org.peridotroute.journal.LogRecord;
+import org.peridotroute.lib.Incarnation;
+import org.peridotroute.lib.OrganisationId;
+
+/**
+ * The fold over the configuration stream. Configuration is in force by offset, so it never goes
+ * back; of operators that race, the one whose record comes first wins. Stateless.
+ */
+public final class ConfigFold {
+  /** Organisations kept. */
+  public static final int MAX_ORGANISATIONS = 1_000;
+
+  private ConfigFold() {}
+
+  /**
+   * Folds one record in.
+   *
+   * @param state the state so far
+   * @param entry the next record
+   * @return the next state and the verdict; a refused record moves the offset alone
+   */
+  public static Folded<ConfigState> fold(ConfigState state, LogEntry entry) {
+    Envelope envelope = entry.envelope();
+    Long last = state.sequences().get(envelope.writer());
+    if (last != null && envelope.sequence() <= last) {
+      return new Folded<>(at(state, entry, state.sequences()), Verdict.REPEATED);
+    }
+    ConfigState marked =
+        at(state, entry, state.sequences().plus(envelope.writer(), envelope.sequence()));
+    if (envelope.record() instanceof LogRecord.OrganisationPut put) {
+      return put(marked, put);
+    }
+    if (envelope.record() instanceof LogRecord.OrganisationDeleted deleted) {
+      return delete(marked, deleted);
+    }
+    return new Folded<>(marked, Verdict.WRONG_STREAM);
+  }
+
+  private static ConfigState at(
+      ConfigState state, LogEntry entry, TreePMap<Incarnation, Long> sequences) {
+    return new ConfigState(entry.offset(), state.organisations(), sequences);
+  }
+
+  private static Folded<ConfigState> put(ConfigState state, LogRecord.OrganisationPut record) {
+    ConfigState.Declared known = state.organisations().get(record.id());
+    if (revision(known) != record.expectedRevision()) {
+      return new Folded<>(state, Verdict.LOST_RACE);
+    }
+    if (known == null && state.organisations().size() >= MAX_ORGANISATIONS) {
+      return new Folded<>(state, Verdict.FULL);
+    }
+    ConfigState.Declared next = new ConfigState.Declared(record.organisation(), state.offset());
+    return accepted(state, state.organisations().plus(record.id(), next));
+  }
+
+  private static Folded<ConfigState> delete(
+      ConfigState state, LogRecord.OrganisationDeleted record) {
+    ConfigState.Declared known = state.organisations().get(record.id());
+    if (known == null) {
+      return new Folded<>(state, Verdict.NOT_FOUND);
+    }
+    if (known.revision() != record.expectedRevision()) {
+      return new Folded<>(state, Verdict.LOST_RACE);
+    }
+    return accepted(state, state.organisations().minus(record.id()));
+  }
+
+  private static long revision(ConfigState.Declared declared) {
+    return declared == null ? 0 : declared.revision();
+  }
+
+  private static Folded<ConfigState> accepted(
+      ConfigState state, TreePMap<OrganisationId, ConfigState.Declared> organisations) {
+    return new Folded<>(
+        new ConfigState(state.offset(), organisations, state.sequences()), Verdict.ACCEPTED);
+  }
+}
--- /dev/null
+++ b/org.peridotroute/src/org/peridotroute/fold/ConfigState.java
@@ -0,0 +1,29 @@
+package org.peridotroute.fold;
+
+import org.pcollections.TreePMap;
+import org.peridotroute.lib.Incarnation;
+import org.peridotroute.lib.Organisation;
+import org.peridotroute.lib.OrganisationId;
+
+/**
+ * All that the configuration stream says, up to one offset. Immutable and persistent.
+ *
+ * @param offset offset of the last record folded, 0 before the first
+ * @param organisations declared organisations
+ * @param sequences last sequence folded by writer
+ */
+public record ConfigState(
+    long offset,
+    TreePMap<OrganisationId, Declared> organisations,
+    TreePMap<Incarnation, Long> sequences) {
+  /** The state before the first record. */
+  public static final ConfigState EMPTY = new ConfigState(0, TreePMap.empty(), TreePMap.empty());
+
+  /**
+   * An organisation with the revision of its declaration.
+   *
+   * @param organisation the declaration
+   * @param revision offset of the record that declared it
+   */
+  public record Declared(Organisation organisation, long revision) {}
+}
--- /dev/null
+++ b/org.peridotroute/src/org/peridotroute/lib/JobName.java
@@ -0,0 +1,27 @@
+package org.peridotroute.lib;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Name of a job, unique within its organisation and chosen by the caller.
+ *
+ * @param value the name; 1 to 63 of a-z, 0-9 and '-'
+ */
+public record JobName(@JsonValue String value) implements Comparable<JobName> {
+  /** Checks the name. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+  public JobName {
+    Checks.name("job", value);
+  }
+
+  @Override
+  public int compareTo(JobName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/org.peridotroute/src/org/peridotroute/lib/VmId.java
@@ -0,0 +1,27 @@
+package org.peridotroute.lib;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Name of an entry VM, given by its settings.
+ *
+ * @param value the name; 1 to 63 of a-z, 0-9 and '-'
+ */
+public record VmId(@JsonValue String value) implements Comparable<VmId> {
+  /** Checks the name. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+  public VmId {
+    Checks.name("VM", value);
+  }
+
+  @Override
+  public int compareTo(VmId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
