Fuzz the promises on virtual time, and mend what it found

Cause: with the whole path in place, nothing yet showed that the promises hold under faults. The fuzzer steps real folds, planners and drivers of three VMs against stand-ins, with twelve kinds of fault, and an oracle that compares what callers are told with what ran on the workers.

Found and mended, each by the run that showed it: - A borrower was reclaimed for ever: room freed for a guaranteed job was borrowed again before the next pass. Jobs inside guarantees now go first, and reclaim only cells in which all other guaranteed shapes still fit. The start on the log now names the lease of each member, and no other lease can be started. - A driver that came back from a pause took its own silence for that of the workers. It now takes its gangs on anew.

Shows that the oracle can fail: nine defects put in on purpose, one for each promise, are each caught.

--- /dev/null
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzVm.java
@@ -0,0 +1,219 @@
+package org.peridotroute.bench.fuzz;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.peridotroute.control.GangDriver;
+import org.peridotroute.control.GangTimes;
+import org.peridotroute.control.Planner;
+import org.peridotroute.control.PlannerTimes;
+import org.peridotroute.control.Proposals;
+import org.peridotroute.errors.LogUnavailableException;
+import org.peridotroute.errors.NotSentException;
+import org.peridotroute.errors.RecordsExpiredException;
+import org.peridotroute.fold.ConfigFold;
+import org.peridotroute.fold.ConfigState;
+import org.peridotroute.fold.Folded;
+import org.peridotroute.fold.JobFold;
+import org.peridotroute.fold.JobState;
+import org.peridotroute.fold.Verdict;
+import org.peridotroute.journal.LogEntry;
+import org.peridotroute.journal.LogRecord;
+import org.peridotroute.journal.RecordCodec;
+import org.peridotroute.lib.Directory;
+import org.peridotroute.lib.Incarnation;
+import org.peridotroute.lib.VmId;
+import org.peridotroute.policy.ClusterView;
+import org.peridotroute.policy.PlacementPolicy;
+
+/**
+ * One VM of the fuzzer: the real fold, planner and driver, with the threads and transports of the
+ * server replaced by steps. Used by one thread.
+ */
+final class FuzzVm {
+  static final GangTimes GANG_TIMES = new GangTimes(3_000, 800, 400, 2_000, 100);
+  static final PlannerTimes PLANNER_TIMES = new PlannerTimes(500, 2_000);
+
+  private static final int MAX_BATCH = 20;
+  private static final int MAX_READ = 50;
+  private static final int MAX_QUEUE = 200;
+
+  private final VmId id;
+  private final FuzzLog log;
+  private final FuzzClock clock;
+  private final Proposals journalProposals;
+  private final Proposals configProposals;
+  private final List<String> journalQueue = new ArrayList<>();
+  private final List<String> configQueue = new ArrayList<>();
+  private final Planner planner;
+  private final GangDriver driver;
+  private final double clockRate;
+  private JobState jobs = JobState.EMPTY;
+  private ConfigState config = ConfigState.EMPTY;
+  private Directory directory = Directory.EMPTY;
+  private final Sabotage sabotage;
+  private boolean ready;
+  private boolean paused;
+  private boolean stopping;
+
+  FuzzVm(
+      VmId id,
+      Incarnation incarnation,
+      FuzzLog log,
+      FuzzClock clock,
+      FuzzNetwork network,
+      PlacementPolicy policy,
+      Sabotage sabotage,
+      double clockRate) {
+    this.id = id;
+    this.sabotage = sabotage;
+    ready = sabotage == Sabotage.READY_TOO_EARLY;
+    this.log = log;
+    this.clock = clock;
+    this.clockRate = clockRate;
+    journalProposals = new Proposals(incarnation);
+    configProposals = new Proposals(incarnation);
+    planner = new Planner(id, incarnation, PLANNER_TIMES, policy, this::propose);
+    driver =
+        new GangDriver(
+            id,
+            GANG_TIMES,
+            (worker, command) -> network.send(this, worker, command),
+            this::propose,
+            Runnable::run);
+  }
+
+  VmId id() {
+    return id;
+  }
+
+  JobState jobs() {
+    return jobs;
+  }
+
+  ConfigState config() {
+    return config;
+  }
+
+  Directory directory() {
+    return directory;
+  }
+
+  void see(Directory latest) {
+    if (!latest.equals(directory)) {
+      directory = latest;
+    }
+  }
+
+  boolean isPaused() {
+    return paused;
+  }
+
+  void setPaused(boolean value) {
+    paused = value;
+  }
+
+  boolean isPlanner() {
+    return planner.isMine(jobs);
+  }
+
+  /** Takes no new work from now on, as at a planned stop. */
+  void leave() {
+    stopping = true;
+  }
+
+  /** Returns whether all that was proposed has been read back. */
+  boolean isDrained() {
+    return journalProposals.size() + configProposals.size() == 0;
+  }
+
+  void dropQueues() {
+    journalQueue.clear();
+    configQueue.clear();
+  }
+
+  /** Returns whether both streams were read to their ends once. */
+  boolean isReady() {
+    return ready;
+  }
+
+  CompletableFuture<Verdict> propose(LogRecord record) {
+    if (sabotage == Sabotage.DROP_RELEASES && record instanceof LogRecord.Released) {
+      return new CompletableFuture<>();
+    }
+    return enqueue(record, journalProposals, journalQueue);
+  }
+
+  CompletableFuture<Verdict> proposeConfig(LogRecord record) {
+    return enqueue(record, configProposals, configQueue);
+  }
+
+  /** Reads on, decides, drives and writes, as far as each is due. */
+  void step() {
+    read();
+    if (ready && !stopping) {
+      planner.step(new ClusterView(jobs, config, directory, clock.nowMillis()), localMillis());
+    }
+    if (ready) {
+      driver.step(jobs, directory, localMillis());
+    }
+    write();
+  }
+
+  void read() {
+    try {
+      List<LogEntry> journal = log.read(FuzzLog.JOURNAL, jobs.offset() + 1, MAX_READ);
+      journal.forEach(this::foldJournal);
+      List<LogEntry> configured = log.read(FuzzLog.CONFIG, config.offset() + 1, MAX_READ);
+      configured.forEach(this::foldConfig);
+      ready = ready || (journal.size() < MAX_READ && configured.size() < MAX_READ);
+    } catch (LogUnavailableException | RecordsExpiredException e) {
+      // The state stays as it is; the next step tries again.
+    }
+  }
+
+  void write() {
+    append(FuzzLog.JOURNAL, journalQueue);
+    append(FuzzLog.CONFIG, configQueue);
+  }
+
+  private CompletableFuture<Verdict> enqueue(
+      LogRecord record, Proposals proposals, List<String> queue) {
+    CompletableFuture<Verdict> outcome = new CompletableFuture<>();
+    if (queue.size() >= MAX_QUEUE) {
+      outcome.completeExceptionally(NotSentException.ringFull(id.value()));
+    } else {
+      queue.add(RecordCodec.encode(proposals.seal(record, clock.nowMillis(), outcome)));
+    }
+    return outcome;
+  }
+
+  private void append(String stream, List<String> queue) {
+    List<String> batch = List.copyOf(queue.subList(0, Math.min(MAX_BATCH, queue.size())));
+    if (batch.isEmpty()) {
+      return;
+    }
+    try {
+      log.append(stream, batch);
+      queue.subList(0, batch.size()).clear();
+    } catch (LogUnavailableException e) {
+      // The batch stays at the head of the queue and is repeated in the next step.
+    }
+  }
+
+  private void foldJournal(LogEntry entry) {
+    Folded<JobState> folded = JobFold.fold(jobs, entry);
+    jobs = folded.state();
+    journalProposals.resolve(entry, folded.verdict());
+  }
+
+  private void foldConfig(LogEntry entry) {
+    Folded<ConfigState> folded = ConfigFold.fold(config, entry);
+    config = folded.state();
+    configProposals.resolve(entry, folded.verdict());
+  }
+
+  private long localMillis() {
+    return (long) (clock.nowMillis() * clockRate);
+  }
+}
--- /dev/null
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/Sabotages.java
@@ -0,0 +1,57 @@
+package org.peridotroute.bench.fuzz;
+
+import java.util.List;
+import org.peridotroute.control.TaskAction;
+import org.peridotroute.control.TaskCommand;
+import org.peridotroute.lib.Directory;
+import org.peridotroute.lib.WorkerInfo;
+import org.peridotroute.policy.ClusterView;
+import org.peridotroute.policy.Decision;
+
+/** Defects put in on purpose. Stateless. */
+final class Sabotages {
+  private Sabotages() {}
+
+  /** Shows every worker as staying. */
+  static ClusterView withoutLeaving(ClusterView view) {
+    List<WorkerInfo> staying =
+        view.directory().workers().stream()
+            .map(
+                worker ->
+                    new WorkerInfo(
+                        worker.id(),
+                        worker.rack(),
+                        worker.place(),
+                        worker.accelerators(),
+                        false,
+                        worker.url()))
+            .toList();
+    Directory directory = new Directory(view.directory().vms(), staying);
+    return new ClusterView(view.jobs(), view.config(), directory, view.wallMillis());
+  }
+
+  /** Marks every placement as guaranteed and reclaims nothing. */
+  static List<Decision> withoutReclaim(List<Decision> decisions) {
+    return decisions.stream()
+        .filter(decision -> !(decision instanceof Decision.Reclaim))
+        .map(
+            decision ->
+                decision instanceof Decision.Place place
+                    ? new Decision.Place(place.job(), place.attempt(), false, place.members())
+                    : decision)
+        .toList();
+  }
+
+  /** Returns a command for the same task with another action. */
+  static TaskCommand as(TaskAction action, TaskCommand command, String lease) {
+    return new TaskCommand(
+        action,
+        command.job(),
+        command.member(),
+        command.token(),
+        lease,
+        FuzzVm.GANG_TIMES.leaseMillis(),
+        command.accelerators(),
+        "");
+  }
+}
--- /dev/null
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benches, each with a seed, that print one figure a line as JSON. */
+package org.peridotroute.bench;
--- a/org.peridotroute.server/src/org/peridotroute/server/service/DriverService.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/DriverService.java
@@ -1,13 +1,11 @@
 package org.peridotroute.server.service;
 
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.peridotroute.control.GangDriver;
 import org.peridotroute.control.GangTimes;
 import org.peridotroute.control.RecordSink;
 import org.peridotroute.lib.VmId;
-import org.peridotroute.lib.VmInfo;
 import org.peridotroute.server.client.HttpWorkerGateway;
 import org.peridotroute.server.ring.Duty;
 import org.peridotroute.server.ring.DutyRing;
@@ -88,17 +86,11 @@
     if (!health.canAct()) {
       return;
     }
-    driver.step(state.jobs(), candidates(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    driver.step(
+        state.jobs(), directory.directory(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
     gateway.flush();
   }
 
-  private List<VmId> candidates() {
-    return directory.directory().vms().stream()
-        .filter(vm -> !vm.leaving())
-        .map(VmInfo::id)
-        .toList();
-  }
-
   private void runOnDuty(Runnable continuation) {
     if (ring.isOwnThread()) {
       continuation.run();
--- a/org.peridotroute.standin/src/org/peridotroute/standin/WorkerStandIn.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/WorkerStandIn.java
@@ -23,19 +23,21 @@
   private final Map<Integer, Long> fences = new HashMap<>();
   private final List<TaskRun> runs = new ArrayList<>();
   private boolean failingAll;
-  private boolean unfenced;
+  private long leases;
 
   /** Identity of a task here. */
   private record TaskId(JobKey job, int member, long token) {}
 
   /** A task that holds accelerators. */
   private static final class Task {
+    private final String lease;
     private final List<Integer> accelerators;
     private final TaskScript script;
     private long expiresMillis;
     private long startedMillis = -1;
 
-    Task(List<Integer> accelerators, TaskScript script) {
+    Task(String lease, List<Integer> accelerators, TaskScript script) {
+      this.lease = lease;
       this.accelerators = accelerators;
       this.script = script;
     }
@@ -82,15 +84,6 @@
     failingAll = value;
   }
 
-  /**
-   * Takes the check of tokens out; only for tests that show what it is for.
-   *
-   * @param value whether lower tokens are let in
-   */
-  public synchronized void setUnfenced(boolean value) {
-    unfenced = value;
-  }
-
   /** Loses every task and lease, as a restart does. */
   public synchronized void restart() {
     tasks.clear();
@@ -102,21 +95,35 @@
   }
 
   /**
-   * Returns tokens of the tasks that run at a time, by job and member.
+   * Returns the tasks that run at a time.
    *
    * @param nowMillis the time
    * @return the running tasks
    */
   public synchronized List<TaskRun> running(long nowMillis) {
+    return started(nowMillis, false);
+  }
+
+  /**
+   * Returns the tasks that run at a time or are over with their lease still held.
+   *
+   * @param nowMillis the time
+   * @return the started tasks
+   */
+  public synchronized List<TaskRun> started(long nowMillis) {
+    return started(nowMillis, true);
+  }
+
+  private List<TaskRun> started(long nowMillis, boolean withOver) {
     expire(nowMillis);
-    List<TaskRun> running = new ArrayList<>();
+    List<TaskRun> started = new ArrayList<>();
     tasks.forEach(
         (id, task) -> {
-          if (task.startedMillis >= 0 && !isOver(task, nowMillis)) {
-            running.add(new TaskRun(id.job(), id.member(), id.token(), task.startedMillis));
+          if (task.startedMillis >= 0 && (withOver || !isOver(task, nowMillis))) {
+            started.add(new TaskRun(id.job(), id.member(), id.token(), task.startedMillis));
           }
         });
-    return running;
+    return started;
   }
 
   private void expire(long nowMillis) {
@@ -133,18 +140,27 @@
       if (accelerator < 0 || accelerator >= info.accelerators()) {
         return refuse(command, "no accelerator " + accelerator);
       }
-      if (!unfenced && command.token() < fences.getOrDefault(accelerator, 0L)) {
+      if (command.token() < fences.getOrDefault(accelerator, 0L)) {
         return refuse(command, "accelerator " + accelerator + " is held by a higher token");
       }
     }
     fence(command.accelerators(), command.token());
-    if (!unfenced) {
-      tasks.values().removeIf(task -> overlaps(task, command.accelerators()));
-    }
-    Task task = new Task(command.accelerators(), TaskScript.parse(command.payload()));
+    tasks.values().removeIf(task -> overlaps(task, command.accelerators()));
+    Task task = new Task(newLease(), command.accelerators(), TaskScript.parse(command.payload()));
     task.expiresMillis = nowMillis + command.leaseMillis();
     tasks.put(id, task);
-    return TaskReport.of(TaskState.PREPARED, command);
+    return report(id, task, command, nowMillis);
+  }
+
+  private String newLease() {
+    return info.id() + "." + ++leases;
+  }
+
+  /** Returns the task if the command names its lease. */
+  private Task held(TaskId id, TaskCommand command) {
+    Task task = tasks.get(id);
+    boolean named = task != null && task.lease.equals(command.lease());
+    return named ? task : null;
   }
 
   private static boolean overlaps(Task task, List<Integer> accelerators) {
@@ -156,7 +172,7 @@
   }
 
   private TaskReport start(TaskId id, TaskCommand command, long nowMillis) {
-    Task task = tasks.get(id);
+    Task task = held(id, command);
     if (task == null) {
       return TaskReport.of(TaskState.NOT_HELD, command);
     }
@@ -171,7 +187,7 @@
   }
 
   private TaskReport renew(TaskId id, TaskCommand command, long nowMillis) {
-    Task task = tasks.get(id);
+    Task task = held(id, command);
     if (task == null) {
       return TaskReport.of(TaskState.NOT_HELD, command);
     }
@@ -188,17 +204,17 @@
 
   private TaskReport report(TaskId id, Task task, TaskCommand command, long nowMillis) {
     if (task.startedMillis < 0) {
-      return TaskReport.of(TaskState.PREPARED, command);
+      return new TaskReport(TaskState.PREPARED, id.token(), id.member(), task.lease, null, null);
     }
     if (!isOver(task, nowMillis)) {
       return TaskReport.of(TaskState.RUNNING, command);
     }
     if (failingAll || task.script.failingMember() == id.member()) {
       return new TaskReport(
-          TaskState.FAILED, id.token(), id.member(), null, "the task failed on " + info.id());
+          TaskState.FAILED, id.token(), id.member(), null, null, "the task failed on " + info.id());
     }
     Answer output = Answer.of("member " + id.member() + ": " + task.script.echo());
-    return new TaskReport(TaskState.SUCCEEDED, id.token(), id.member(), output, null);
+    return new TaskReport(TaskState.SUCCEEDED, id.token(), id.member(), null, output, null);
   }
 
   private boolean isOver(Task task, long nowMillis) {
@@ -206,6 +222,6 @@
   }
 
   private static TaskReport refuse(TaskCommand command, String reason) {
-    return new TaskReport(TaskState.REFUSED, command.token(), command.member(), null, reason);
+    return new TaskReport(TaskState.REFUSED, command.token(), command.member(), null, null, reason);
   }
 }
--- /dev/null
+++ b/org.peridotroute.test/tst/org/peridotroute/fuzz/SabotageTest.java
@@ -0,0 +1,41 @@
+package org.peridotroute.fuzz;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.peridotroute.bench.fuzz.FuzzOptions;
+import org.peridotroute.bench.fuzz.FuzzWorld;
+import org.peridotroute.bench.fuzz.Promise;
+import org.peridotroute.bench.fuzz.Sabotage;
+
+/** Shows for each promise that the oracle sees it broken when a defect is put in on purpose. */
+final class SabotageTest {
+  private static final int MAX_WORLDS = 40;
+  private static final long STEPS = 3_000;
+
+  @ParameterizedTest
+  @CsvSource({
+    "NO_RECLAIM, GUARANTEE_RECLAIMABLE",
+    "IGNORE_LOST_MEMBERS, GANG_WHOLE",
+    "UNLABELLED_ANSWERS, OWN_WHOLE_ANSWER",
+    "START_BEFORE_LOG, NOT_RUN_IS_TRUE",
+    "RESTART_LOST_TASKS, AT_MOST_ONCE",
+    "IGNORE_LEAVING, LEAVING_GETS_NOTHING",
+    "STOP_DROPS_RING, PLANNED_STOP_CUTS_NOTHING",
+    "READY_TOO_EARLY, CONFIG_NEVER_REVERTS",
+    "DROP_RELEASES, NOTHING_LOST",
+  })
+  void oracleCatchesDefect(Sabotage sabotage, Promise promise) {
+    FuzzOptions options = FuzzOptions.ALL.with(sabotage);
+    boolean caught = false;
+    for (int seed = 0; seed < MAX_WORLDS && !caught; seed++) {
+      FuzzWorld world = new FuzzWorld(options, new SplittableRandom(seed)::nextInt);
+      world.run(STEPS);
+      world.settle();
+      caught = world.violations().stream().anyMatch(violation -> violation.promise() == promise);
+    }
+    assertWithMessage("%s is caught as a breach of %s", sabotage, promise).that(caught).isTrue();
+  }
+}
--- a/org.peridotroute/src/org/peridotroute/control/Gang.java
+++ b/org.peridotroute/src/org/peridotroute/control/Gang.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.function.Predicate;
 import org.peridotroute.fold.Allocation;
 import org.peridotroute.fold.Job;
 import org.peridotroute.fold.JobPhase;
@@ -22,10 +23,11 @@
   private final WorkerGateway gateway;
   private final RecordSink sink;
   private final Executor continuations;
-  private final long takenOnMillis;
+  private long takenOnMillis;
   private final List<MemberTrack> members = new ArrayList<>();
 
   private Job job;
+  private Allocation held;
   private long nowMillis;
   private long roundMillis;
   private boolean proposing;
@@ -54,23 +56,44 @@
     }
   }
 
-  void step(Job latest, Allocation held, long now) {
+  void step(Job latest, Allocation latestHeld, Predicate<WorkerId> takesWork, long now) {
     job = latest;
+    held = latestHeld;
+    if (now - nowMillis > times.leaseMillis() / 2) {
+      takeOnAgain(now);
+    }
     nowMillis = now;
     if (held.releasing()) {
       stepRelease();
     } else if (latest.phase() == JobPhase.PLACED) {
-      stepPrepare();
+      stepPrepare(takesWork);
     } else if (latest.phase() == JobPhase.RUNNING) {
       stepRun();
     }
   }
 
-  private void stepPrepare() {
+  /**
+   * Forgets what was known before a pause of the process: another VM may have driven the gang
+   * since, and only the workers can tell.
+   */
+  private void takeOnAgain(long now) {
+    takenOnMillis = now;
+    roundMillis = now;
+    for (MemberTrack member : members) {
+      member.leaseSentMillis = now;
+      member.preparedMillis = -1;
+    }
+  }
+
+  private void stepPrepare(Predicate<WorkerId> takesWork) {
     if (job.reclaimRequested()) {
       abandon(null, "its room was reclaimed before it was started");
       return;
     }
+    if (!proposing && !members.stream().allMatch(one -> takesWork.test(one.member.worker()))) {
+      abandon(null, "a worker is leaving or gone");
+      return;
+    }
     for (MemberTrack member : members) {
       boolean fresh = isFresh(member, times.renewMillis());
       if (!fresh && member.isIdle(nowMillis, times.retryMillis())) {
@@ -80,7 +103,7 @@
     if (ending != null) {
       abandon(ending.worker(), ending.reason());
     } else if (members.stream().allMatch(member -> isFresh(member, times.leaseMillis() / 2))) {
-      propose(new LogRecord.Started(job.key(), allocation.token()));
+      propose(new LogRecord.Started(job.key(), allocation.token(), leases()));
     } else if (nowMillis - takenOnMillis > times.prepareTimeoutMillis()) {
       abandon(oldestPrepared().member.worker(), "a member was not prepared in time");
     }
@@ -90,6 +113,10 @@
     return member.preparedMillis >= 0 && nowMillis - member.preparedMillis < withinMillis;
   }
 
+  private List<String> leases() {
+    return members.stream().map(member -> member.lease).toList();
+  }
+
   private MemberTrack oldestPrepared() {
     return members.stream()
         .min(Comparator.comparingLong(member -> member.preparedMillis))
@@ -210,6 +237,7 @@
             allocation.job(),
             member.number,
             allocation.token(),
+            lease(member, action),
             action == TaskAction.RELEASE ? 0 : times.leaseMillis(),
             member.member.accelerators(),
             prepare ? job.spec().payload() : null);
@@ -232,9 +260,17 @@
                 continuations);
   }
 
+  private String lease(MemberTrack member, TaskAction action) {
+    boolean named = action == TaskAction.START || action == TaskAction.RENEW;
+    return named ? held.leases().get(member.number) : null;
+  }
+
   private void onReport(MemberTrack member, TaskAction action, TaskReport report, long sentMillis) {
     switch (report.state()) {
-      case PREPARED -> member.preparedMillis = Math.max(member.preparedMillis, sentMillis);
+      case PREPARED -> {
+        member.preparedMillis = Math.max(member.preparedMillis, sentMillis);
+        member.lease = report.lease();
+      }
       case RUNNING, SUCCEEDED -> {
         member.started = true;
         member.answeredMillis = Math.max(member.answeredMillis, sentMillis);
--- a/org.peridotroute/src/org/peridotroute/control/GangDriver.java
+++ b/org.peridotroute/src/org/peridotroute/control/GangDriver.java
@@ -1,12 +1,18 @@
 package org.peridotroute.control;
 
-import java.util.Collection;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
+import java.util.stream.Collectors;
 import org.peridotroute.fold.Allocation;
 import org.peridotroute.fold.JobState;
+import org.peridotroute.lib.Directory;
 import org.peridotroute.lib.VmId;
+import org.peridotroute.lib.VmInfo;
+import org.peridotroute.lib.WorkerId;
+import org.peridotroute.lib.WorkerInfo;
 
 /**
  * Drives the gangs that fall to one VM: prepares all members, has the start logged, starts them,
@@ -46,17 +52,24 @@
    * Does what is due for each gang of this VM.
    *
    * @param state the latest state
-   * @param candidates VMs that can drive, in the view of this one
+   * @param directory VMs and workers, in the view of this VM
    * @param nowMillis monotonic time
    */
-  public void step(JobState state, Collection<VmId> candidates, long nowMillis) {
+  public void step(JobState state, Directory directory, long nowMillis) {
+    List<VmId> candidates =
+        directory.vms().stream().filter(vm -> !vm.leaving()).map(VmInfo::id).toList();
+    Set<WorkerId> staying =
+        directory.workers().stream()
+            .filter(worker -> !worker.leaving())
+            .map(WorkerInfo::id)
+            .collect(Collectors.toSet());
     gangs.keySet().retainAll(state.allocations().keySet());
     for (Allocation allocation : state.allocations().values()) {
       boolean mine = Rendezvous.pick(allocation.job(), candidates).filter(self::equals).isPresent();
       if (mine) {
         gangs
             .computeIfAbsent(allocation.token(), token -> newGang(allocation, nowMillis))
-            .step(state.jobs().get(allocation.job()), allocation, nowMillis);
+            .step(state.jobs().get(allocation.job()), allocation, staying::contains, nowMillis);
       } else {
         gangs.remove(allocation.token());
       }
--- a/org.peridotroute/src/org/peridotroute/control/MemberTrack.java
+++ b/org.peridotroute/src/org/peridotroute/control/MemberTrack.java
@@ -23,6 +23,9 @@
   /** When the last good answer to a prepare was asked for; -1 before the first. */
   long preparedMillis = -1;
 
+  /** Id of the lease that the worker gave last; null before the first. */
+  String lease;
+
   boolean started;
   boolean released;
   Answer output;
--- a/org.peridotroute/src/org/peridotroute/control/TaskCommand.java
+++ b/org.peridotroute/src/org/peridotroute/control/TaskCommand.java
@@ -12,6 +12,7 @@
  * @param member the member's number, from 0
  * @param token the attempt's fencing token; a worker refuses one lower than it has seen for the
  *     same accelerators
+ * @param lease id of the lease meant; with a start and a renewal alone
  * @param leaseMillis the lease, counted by the worker from receipt; 0 with a release
  * @param accelerators numbers of the accelerators, so that a worker can fence them whatever it has
  *     seen
@@ -23,6 +24,7 @@
     JobKey job,
     int member,
     long token,
+    String lease,
     long leaseMillis,
     List<Integer> accelerators,
     String payload) {}
--- a/org.peridotroute/src/org/peridotroute/control/TaskReport.java
+++ b/org.peridotroute/src/org/peridotroute/control/TaskReport.java
@@ -10,11 +10,14 @@
  * @param state the task's state
  * @param token the token the answer is about; an answer about another is no answer
  * @param member the member the answer is about
+ * @param lease id of the lease that the worker gave, another with each lease; with {@link
+ *     TaskState#PREPARED} alone
  * @param output what the task wrote; with {@link TaskState#SUCCEEDED} alone
  * @param reason what went wrong, null where nothing did
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
-public record TaskReport(TaskState state, long token, int member, Answer output, String reason) {
+public record TaskReport(
+    TaskState state, long token, int member, String lease, Answer output, String reason) {
   /**
    * Makes a report that carries only a state.
    *
@@ -23,7 +26,7 @@
    * @return the report
    */
   public static TaskReport of(TaskState state, TaskCommand command) {
-    return new TaskReport(state, command.token(), command.member(), null, null);
+    return new TaskReport(state, command.token(), command.member(), null, null, null);
   }
 
   /**
@@ -37,6 +40,9 @@
     if (state == null || token != command.token() || member != command.member()) {
       return false;
     }
+    if (state == TaskState.PREPARED && lease == null) {
+      return false;
+    }
     return state != TaskState.SUCCEEDED || (output != null && output.isWhole());
   }
 }
--- a/org.peridotroute/src/org/peridotroute/fold/Allocation.java
+++ b/org.peridotroute/src/org/peridotroute/fold/Allocation.java
@@ -14,12 +14,19 @@
  * @param borrowed whether the room is outside of the organisation's guarantees
  * @param releasing whether the attempt is over
  * @param members where each member is, by member number
+ * @param leases id of each member's lease, by member number; empty before the start
  */
 public record Allocation(
-    long token, JobKey job, boolean borrowed, boolean releasing, List<Member> members) {
-  /** Copies the members. */
+    long token,
+    JobKey job,
+    boolean borrowed,
+    boolean releasing,
+    List<Member> members,
+    List<String> leases) {
+  /** Copies the lists. */
   public Allocation {
     members = List.copyOf(members);
+    leases = List.copyOf(leases);
   }
 
   /** Returns all accelerators held. */
@@ -28,6 +35,10 @@
   }
 
   Allocation toReleasing() {
-    return new Allocation(token, job, borrowed, true, members);
+    return new Allocation(token, job, borrowed, true, members, leases);
+  }
+
+  Allocation withLeases(List<String> ids) {
+    return new Allocation(token, job, borrowed, releasing, members, ids);
   }
 }
--- a/org.peridotroute/src/org/peridotroute/fold/JobFold.java
+++ b/org.peridotroute/src/org/peridotroute/fold/JobFold.java
@@ -165,7 +165,7 @@
     }
     long token = state.offset();
     Allocation allocation =
-        new Allocation(token, job.key(), record.borrowed(), false, record.members());
+        new Allocation(token, job.key(), record.borrowed(), false, record.members(), List.of());
     Job placed = job.change(state.offset()).placed(token).done();
     return accepted(state.withJob(placed).withAllocation(allocation));
   }
@@ -229,7 +229,12 @@
     if (!job.spec().idempotent() && job.starts() > 0) {
       return new Folded<>(state, Verdict.SECOND_START);
     }
-    return accepted(state.withJob(job.change(state.offset()).started().done()));
+    Allocation held = state.allocations().get(record.token());
+    if (record.leases().size() != held.members().size()) {
+      return new Folded<>(state, Verdict.BAD_PLACEMENT);
+    }
+    JobState next = state.withChanged(held.withLeases(record.leases()));
+    return accepted(next.withJob(job.change(state.offset()).started().done()));
   }
 
   private static Folded<JobState> end(JobState state, LogRecord.AttemptEnded record) {
--- a/org.peridotroute/src/org/peridotroute/fold/JobState.java
+++ b/org.peridotroute/src/org/peridotroute/fold/JobState.java
@@ -107,12 +107,15 @@
   }
 
   JobState withReleasing(long token) {
-    Allocation held = allocations.get(token);
+    return withChanged(allocations.get(token).toReleasing());
+  }
+
+  JobState withChanged(Allocation held) {
     return new JobState(
         offset,
         planner,
         jobs,
-        allocations.plus(token, held.toReleasing()),
+        allocations.plus(held.token(), held),
         holders,
         ended,
         answerBytes,
--- a/org.peridotroute/src/org/peridotroute/journal/LogRecord.java
+++ b/org.peridotroute/src/org/peridotroute/journal/LogRecord.java
@@ -108,8 +108,15 @@
    *
    * @param job the job
    * @param token the attempt's token
+   * @param leases id of the lease that each member's worker gave, by member number; only these may
+   *     be started, so that a lease taken later under the same token never runs
    */
-  record Started(JobKey job, long token) implements LogRecord {}
+  record Started(JobKey job, long token, List<String> leases) implements LogRecord {
+    /** Copies the leases. */
+    public Started {
+      leases = List.copyOf(leases);
+    }
+  }
 
   /**
    * An attempt is over. Valid while the attempt is the job's own, with an end that fits its phase.
--- a/org.peridotroute/src/org/peridotroute/policy/GuaranteedBestFit.java
+++ b/org.peridotroute/src/org/peridotroute/policy/GuaranteedBestFit.java
@@ -5,13 +5,11 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.peridotroute.fold.Allocation;
 import org.peridotroute.fold.Job;
 import org.peridotroute.fold.JobPhase;
-import org.peridotroute.lib.JobKey;
 import org.peridotroute.lib.Member;
 import org.peridotroute.lib.OrganisationId;
 import org.peridotroute.lib.Shape;
@@ -28,6 +26,8 @@
  * what was stopped must be able to run again.
  */
 public final class GuaranteedBestFit implements PlacementPolicy {
+  private static final int MAX_CANDIDATES = 4;
+
   private final long holdRackAfterMillis;
 
   /**
@@ -70,39 +70,41 @@
       guarantees = Guarantees.unused(view.config(), view.jobs());
     }
 
+    /**
+     * Serves jobs inside guarantees before all others: what was reclaimed for them must not be
+     * borrowed again.
+     */
     List<Decision> run() {
       if (view.directory().workers().isEmpty()) {
         return List.of();
       }
-      view.jobs().jobs().values().stream()
-          .filter(job -> job.phase() == JobPhase.QUEUED)
-          .sorted(
-              Comparator.comparing((Job job) -> job.spec().jobClass())
-                  .thenComparingLong(Job::createdRevision))
-          .forEach(this::decide);
+      List<Job> waiting =
+          view.jobs().jobs().values().stream()
+              .filter(job -> job.phase() == JobPhase.QUEUED)
+              .filter(job -> !refuseIfImpossible(job))
+              .sorted(
+                  Comparator.comparing((Job job) -> job.spec().jobClass())
+                      .thenComparingLong(Job::createdRevision))
+              .toList();
+      List<Job> others = waiting.stream().filter(job -> !serveInsideGuarantee(job)).toList();
+      others.stream().filter(job -> job.spec().idempotent()).forEach(this::serveBorrowing);
       return decisions;
     }
 
-    private void decide(Job job) {
+    private boolean refuseIfImpossible(Job job) {
       Shape shape = job.spec().shape();
-      if (total.find(shape).isEmpty()) {
-        if (job.starts() == 0) {
-          decisions.add(new Decision.Refuse(job.key(), neverFits(shape)));
-        }
-        return;
+      if (total.find(shape).isPresent()) {
+        return false;
       }
-      OrganisationId owner = job.key().organisation();
-      if (guarantees.find(owner, shape).isPresent()) {
-        if (!placeGuaranteed(job)) {
-          reclaim(job);
-        }
-        return;
-      }
-      if (!job.spec().idempotent()) {
-        return;
+      if (job.starts() == 0) {
+        decisions.add(new Decision.Refuse(job.key(), neverFits(shape)));
       }
+      return true;
+    }
+
+    private void serveBorrowing(Job job) {
       if (!borrow(job) && age(job) > holdRackAfterMillis) {
-        holdRoom(shape);
+        holdRoom(job.spec().shape());
       }
     }
 
@@ -120,43 +122,56 @@
           + " accelerators, even when empty";
     }
 
-    private boolean placeGuaranteed(Job job) {
+    /**
+     * Places a job into a guarantee, or reclaims the room for it. Returns false where no guarantee
+     * of its owner is unused, or where the loss of workers has left no room for it.
+     */
+    private boolean serveInsideGuarantee(Job job) {
+      Shape shape = job.spec().shape();
+      OrganisationId owner = job.key().organisation();
+      Optional<Shape> guaranteed = guarantees.find(owner, shape);
+      if (guaranteed.isEmpty()) {
+        return false;
+      }
+      Guarantees.Packing packing = guarantees.pack(reclaimable);
+      Optional<List<Member>> free =
+          candidates(job).stream()
+              .filter(members -> keepsOthers(job, members, packing.unfit().size()))
+              .findFirst();
+      if (free.isPresent()) {
+        place(job, false, free.get());
+        useGuarantee(job, free.get());
+        return true;
+      }
+      Optional<List<Member>> cells =
+          packing
+              .find(new Guarantees.Owned(owner, guaranteed.get()))
+              .flatMap(room -> Room.only(room, total).find(shape));
+      cells.ifPresent(members -> reclaim(job, members));
+      return cells.isPresent();
+    }
+
+    private List<List<Member>> candidates(Job job) {
       Shape shape = job.spec().shape();
       List<List<Member>> candidates = new ArrayList<>();
       withoutAvoided(job).find(shape).ifPresent(candidates::add);
       free.find(shape).ifPresent(candidates::add);
-      candidates.addAll(free.findAll(shape));
-      for (List<Member> members : candidates) {
-        if (keepsOtherGuarantees(job, members)) {
-          place(job, false, members);
-          guarantees.use(job.key().organisation(), shape);
-          members.forEach(member -> reclaimable.take(member.acceleratorIds()));
-          return true;
-        }
-      }
-      return false;
+      free.findAll(shape).stream().limit(MAX_CANDIDATES).forEach(candidates::add);
+      return candidates;
     }
 
     /** Returns whether the placement leaves no more guaranteed shapes unfit than there are now. */
-    private boolean keepsOtherGuarantees(Job job, List<Member> members) {
+    private boolean keepsOthers(Job job, List<Member> members, int unfitNow) {
       Room after = reclaimable.copy();
       members.forEach(member -> after.take(member.acceleratorIds()));
-      Guarantees before = Guarantees.unused(view.config(), view.jobs());
-      decisions.stream()
-          .filter(decision -> decision instanceof Decision.Place place && !place.borrowed())
-          .map(decision -> ((Decision.Place) decision).job())
-          .forEach(key -> before.use(key.organisation(), shape(key)));
-      int unfitNow = count(before.unfit(reclaimable));
-      before.use(job.key().organisation(), job.spec().shape());
-      return count(before.unfit(after)) <= unfitNow;
-    }
-
-    private Shape shape(JobKey key) {
-      return view.jobs().jobs().get(key).spec().shape();
+      Guarantees rest = guarantees.copy();
+      rest.use(job.key().organisation(), job.spec().shape());
+      return rest.pack(after).unfit().size() <= unfitNow;
     }
 
-    private static int count(Map<OrganisationId, List<Shape>> unfit) {
-      return unfit.values().stream().mapToInt(List::size).sum();
+    private void useGuarantee(Job job, List<Member> members) {
+      guarantees.use(job.key().organisation(), job.spec().shape());
+      members.forEach(member -> reclaimable.take(member.acceleratorIds()));
     }
 
     private boolean borrow(Job job) {
@@ -179,51 +194,31 @@
       members.forEach(member -> free.take(member.acceleratorIds()));
     }
 
-    /** Stops the borrowers whose loss is smallest where the shape can be completed. */
-    private void reclaim(Job job) {
-      Shape shape = job.spec().shape();
-      Room open = free.copy();
-      List<Allocation> borrowers =
-          view.jobs().allocations().values().stream()
-              .filter(held -> held.borrowed() || held.releasing())
-              .filter(held -> !reclaimed.contains(held.token()))
-              .toList();
-      borrowers.forEach(held -> open.give(held.acceleratorIds()));
-      open.findAll(shape).stream()
-          .min(Comparator.comparingInt(members -> loss(victims(borrowers, members))))
-          .ifPresent(members -> reclaim(job, members, victims(borrowers, members)));
-    }
-
-    private void reclaim(Job job, List<Member> members, List<Allocation> victims) {
-      for (Allocation victim : victims) {
-        reclaimed.add(victim.token());
-        Job borrower = view.jobs().jobs().get(victim.job());
-        if (victim.releasing() || borrower == null || borrower.reclaimRequested()) {
+    /**
+     * Stops the borrowers that hold the room, and keeps later jobs of this pass out of it. The room
+     * is one in which all other unused guaranteed shapes still fit.
+     */
+    private void reclaim(Job job, List<Member> members) {
+      for (long token : holders(members)) {
+        Allocation held = view.jobs().allocations().get(token);
+        Job borrower = view.jobs().jobs().get(held.job());
+        if (held.releasing() || borrower.reclaimRequested() || !reclaimed.add(token)) {
           continue;
         }
-        decisions.add(new Decision.Reclaim(victim.job(), victim.token(), job.key().organisation()));
+        decisions.add(new Decision.Reclaim(held.job(), token, job.key().organisation()));
       }
-      guarantees.use(job.key().organisation(), job.spec().shape());
+      useGuarantee(job, members);
       members.forEach(member -> free.take(member.acceleratorIds()));
-      members.forEach(member -> reclaimable.take(member.acceleratorIds()));
     }
 
-    private List<Allocation> victims(List<Allocation> borrowers, List<Member> members) {
+    private Set<Long> holders(List<Member> members) {
       Set<Long> tokens = new LinkedHashSet<>();
       members.stream()
           .flatMap(member -> member.acceleratorIds().stream())
           .map(id -> view.jobs().holders().get(id))
           .filter(token -> token != null)
           .forEach(tokens::add);
-      return borrowers.stream().filter(held -> tokens.contains(held.token())).toList();
-    }
-
-    /** Counts accelerators of attempts that would be stopped; one that is over costs nothing. */
-    private int loss(List<Allocation> victims) {
-      return victims.stream()
-          .filter(held -> !held.releasing())
-          .mapToInt(held -> held.acceleratorIds().size())
-          .sum();
+      return tokens;
     }
 
     /** Keeps later jobs of this pass out of the rack that is nearest to holding the shape. */
--- a/org.peridotroute/src/org/peridotroute/policy/Guarantees.java
+++ b/org.peridotroute/src/org/peridotroute/policy/Guarantees.java
@@ -2,12 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.peridotroute.fold.Allocation;
 import org.peridotroute.fold.ConfigState;
+import org.peridotroute.fold.Job;
 import org.peridotroute.fold.JobState;
 import org.peridotroute.lib.GuaranteedShape;
 import org.peridotroute.lib.Member;
@@ -30,11 +31,37 @@
 
   private Guarantees() {}
 
+  /**
+   * Where unused shapes would go if all of them were wanted at once.
+   *
+   * @param cells room by owner and shape, one entry for each shape that fits
+   * @param unfit shapes for which there is no room
+   */
+  public record Packing(Map<Owned, List<List<Member>>> cells, List<Owned> unfit) {
+    /**
+     * Returns the room of one unused shape.
+     *
+     * @param owned the owner and the shape
+     * @return the room, empty if the shape does not fit
+     */
+    public Optional<List<Member>> find(Owned owned) {
+      return cells.getOrDefault(owned, List.of()).stream().findFirst();
+    }
+  }
+
+  /**
+   * A guaranteed shape with its owner.
+   *
+   * @param owner the organisation
+   * @param shape the shape
+   */
+  public record Owned(OrganisationId owner, Shape shape) {}
+
   /**
    * Works out what is unused.
    *
    * @param config declared organisations
-   * @param jobs held accelerators
+   * @param jobs held accelerators; those of attempts that are over use nothing any more
    * @return the unused shapes
    */
   public static Guarantees unused(ConfigState config, JobState jobs) {
@@ -43,12 +70,20 @@
         .organisations()
         .forEach((id, declared) -> guarantees.unused.put(id, shapes(declared.organisation())));
     jobs.allocations().values().stream()
-        .filter(held -> !held.borrowed())
-        .sorted(Comparator.comparing(Guarantees::shapeOf, BY_SIZE).reversed())
-        .forEach(held -> guarantees.use(held.job().organisation(), shapeOf(held)));
+        .filter(held -> !held.borrowed() && !held.releasing())
+        .map(held -> jobs.jobs().get(held.job()))
+        .sorted(Comparator.comparing((Job job) -> job.spec().shape(), BY_SIZE).reversed())
+        .forEach(job -> guarantees.use(job.key().organisation(), job.spec().shape()));
     return guarantees;
   }
 
+  /** Returns a copy that can be changed without changing this one. */
+  public Guarantees copy() {
+    Guarantees copy = new Guarantees();
+    unused.forEach((id, shapes) -> copy.unused.put(id, new ArrayList<>(shapes)));
+    return copy;
+  }
+
   private static List<Shape> shapes(Organisation organisation) {
     List<Shape> shapes = new ArrayList<>();
     for (GuaranteedShape guaranteed : organisation.guarantees()) {
@@ -60,11 +95,6 @@
     return shapes;
   }
 
-  private static Shape shapeOf(Allocation held) {
-    List<Member> members = held.members();
-    return new Shape(members.size(), members.get(0).accelerators().size(), null);
-  }
-
   /**
    * Finds the smallest unused guaranteed shape that holds a job's shape.
    *
@@ -89,28 +119,29 @@
   }
 
   /**
-   * Returns the unused shapes for which there is no room when all of them are wanted at once. Packs
-   * greedily, the largest first, so that an answer of none is a proof and any other is not.
+   * Packs all unused shapes at once. Greedy, the largest first, so that shapes which all fit are a
+   * proof, and one that does not is none.
    *
    * @param room accelerators that are free or held by borrowers; not changed
-   * @return by organisation, the shapes left over
+   * @return where each goes
    */
-  public Map<OrganisationId, List<Shape>> unfit(Room room) {
+  public Packing pack(Room room) {
     Room left = room.copy();
-    Map<OrganisationId, List<Shape>> unfit = new TreeMap<>();
-    record Wanted(OrganisationId organisation, Shape shape) {}
-    List<Wanted> wanted = new ArrayList<>();
-    unused.forEach((id, shapes) -> shapes.forEach(shape -> wanted.add(new Wanted(id, shape))));
-    wanted.sort(Comparator.comparing(Wanted::shape, BY_SIZE).reversed());
-    for (Wanted want : wanted) {
+    Map<Owned, List<List<Member>>> cells = new HashMap<>();
+    List<Owned> unfit = new ArrayList<>();
+    List<Owned> wanted = new ArrayList<>();
+    unused.forEach((id, shapes) -> shapes.forEach(shape -> wanted.add(new Owned(id, shape))));
+    wanted.sort(Comparator.comparing(Owned::shape, BY_SIZE).reversed());
+    for (Owned want : wanted) {
       Optional<List<Member>> found = left.find(want.shape());
-      if (found.isPresent()) {
-        found.get().forEach(member -> left.take(member.acceleratorIds()));
-      } else {
-        unfit.computeIfAbsent(want.organisation(), id -> new ArrayList<>()).add(want.shape());
+      if (found.isEmpty()) {
+        unfit.add(want);
+        continue;
       }
+      found.get().forEach(member -> left.take(member.acceleratorIds()));
+      cells.computeIfAbsent(want, key -> new ArrayList<>()).add(found.get());
     }
-    return unfit;
+    return new Packing(cells, unfit);
   }
 
   /**
--- a/org.peridotroute/src/org/peridotroute/policy/Room.java
+++ b/org.peridotroute/src/org/peridotroute/policy/Room.java
@@ -45,6 +45,20 @@
     return room;
   }
 
+  /**
+   * Makes a room in which only some accelerators are free.
+   *
+   * @param members the free accelerators
+   * @param like a room with the same workers
+   * @return the room
+   */
+  public static Room only(List<Member> members, Room like) {
+    Room room = like.copy();
+    room.workers.values().forEach(worker -> worker.freeBits = 0);
+    members.forEach(member -> room.give(member.acceleratorIds()));
+    return room;
+  }
+
   /** Returns a copy that can be changed without changing this one. */
   public Room copy() {
     Room copy = allFree(workers.values().stream().map(worker -> worker.info).toList());
