--- a/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FaultKind.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FaultKind.java
@@ -8,6 +8,10 @@
   LOG_ANSWER_LOST,
   /** An append is taken only after the writer has given up on it and repeated it. */
   LOG_APPEND_LATE,
+  /** Records that a whole snapshot covers are no longer kept. */
+  LOG_RETENTION,
+  /** A snapshot is written only in part. */
+  SNAPSHOT_CUT,
   /** A command to a worker, or its answer, is lost. */
   MESSAGE_LOST,
   /** A command to a worker is delivered twice. */
--- a/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzLog.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzLog.java
@@ -9,6 +9,9 @@
 import org.peridotroute.journal.LogEntry;
 import org.peridotroute.journal.RecordCodec;
 import org.peridotroute.platform.LogPage;
+import org.peridotroute.snapshot.Snapshot;
+import org.peridotroute.snapshot.SnapshotAssembler;
+import org.peridotroute.snapshot.SnapshotCodec;
 import org.peridotroute.standin.LogStandIn;
 
 /** The stand-in log with appends that come late. Used by one thread. */
@@ -16,6 +19,10 @@
   static final String JOURNAL = "journal";
   static final String CONFIG = "config";
 
+  private static final String SNAPSHOTS = "snapshots";
+  private static final int SNAPSHOT_CHUNK_BYTES = 600;
+
+  private int snapshots;
   private final LogStandIn log = new LogStandIn();
   private final Deque<LateAppend> late = new ArrayDeque<>();
   private boolean nextIsLate;
@@ -79,4 +86,29 @@
       throw new IllegalStateException("a record of our own does not decode", e);
     }
   }
+
+  /** Writes a snapshot, or only so much of it. */
+  void writeSnapshot(Snapshot snapshot, boolean whole) {
+    snapshots++;
+    List<String> chunks = SnapshotCodec.split("s" + snapshots, snapshot, SNAPSHOT_CHUNK_BYTES);
+    List<String> written = whole ? chunks : chunks.subList(0, chunks.size() - 1);
+    var unused = log.append(SNAPSHOTS, written);
+  }
+
+  /** Returns the newest whole snapshot, or the empty one. */
+  Snapshot readSnapshot() {
+    SnapshotAssembler assembler = new SnapshotAssembler();
+    log.read(SNAPSHOTS, 1, Integer.MAX_VALUE).records().forEach(assembler::add);
+    return assembler.newest().orElse(Snapshot.EMPTY);
+  }
+
+  /** Drops what the newest whole snapshot covers. */
+  void dropCovered() {
+    if (down) {
+      return;
+    }
+    Snapshot snapshot = readSnapshot();
+    log.retainFrom(JOURNAL, snapshot.jobs().offset() + 1);
+    log.retainFrom(CONFIG, snapshot.config().offset() + 1);
+  }
 }
--- a/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzVm.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzVm.java
@@ -25,6 +25,7 @@
 import org.peridotroute.lib.VmId;
 import org.peridotroute.policy.ClusterView;
 import org.peridotroute.policy.PlacementPolicy;
+import org.peridotroute.snapshot.Snapshot;
 
 /**
  * One VM of the fuzzer: the real fold, planner and driver, with the threads and transports of the
@@ -167,8 +168,10 @@
       List<LogEntry> configured = log.read(FuzzLog.CONFIG, config.offset() + 1, MAX_READ);
       configured.forEach(this::foldConfig);
       ready = ready || (journal.size() < MAX_READ && configured.size() < MAX_READ);
-    } catch (LogUnavailableException | RecordsExpiredException e) {
+    } catch (LogUnavailableException e) {
       // The state stays as it is; the next step tries again.
+    } catch (RecordsExpiredException e) {
+      boot(log.readSnapshot());
     }
   }
 
@@ -201,6 +204,23 @@
     }
   }
 
+  /** Takes state over from a snapshot, or from a peer, as an empty VM does at its start. */
+  void boot(Snapshot snapshot) {
+    if (snapshot.jobs().offset() > jobs.offset()) {
+      jobs = snapshot.jobs();
+      journalProposals.skip(jobs.writers());
+    }
+    if (snapshot.config().offset() > config.offset()) {
+      config = snapshot.config();
+      configProposals.skip(config.writers());
+    }
+  }
+
+  /** Returns the state, as a peer or a snapshot gets it. */
+  Snapshot snapshot() {
+    return new Snapshot(jobs, config);
+  }
+
   private void foldJournal(LogEntry entry) {
     Folded<JobState> folded = JobFold.fold(jobs, entry);
     jobs = folded.state();
--- a/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzWorld.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzWorld.java
@@ -1,5 +1,6 @@
 package org.peridotroute.bench.fuzz;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -30,6 +31,7 @@
 import org.peridotroute.policy.Decision;
 import org.peridotroute.policy.GuaranteedBestFit;
 import org.peridotroute.policy.PlacementPolicy;
+import org.peridotroute.snapshot.SnapshotCodec;
 import org.peridotroute.standin.WorkerStandIn;
 
 /**
@@ -227,6 +229,7 @@
       cancel();
     } else if (dice < 94) {
       configure();
+      writeSnapshot(vms.get(choices.next(vms.size())), true);
     } else {
       fault();
     }
@@ -292,7 +295,7 @@
   }
 
   private void submit() {
-    if (truth.jobs().size() - truth.ended().size() >= MAX_OPEN_JOBS) {
+    if (truth.openJobs() >= MAX_OPEN_JOBS) {
       return;
     }
     int number = jobs++;
@@ -379,6 +382,8 @@
       case LOG_DOWN -> log.setDown(on);
       case LOG_ANSWER_LOST -> log.loseNextAnswer();
       case LOG_APPEND_LATE -> lateAppend(on);
+      case LOG_RETENTION -> log.dropCovered();
+      case SNAPSHOT_CUT -> writeSnapshot(vm, false);
       case MESSAGE_LOST, MESSAGE_TWICE -> {
         return onMessage(kind);
       }
@@ -417,9 +422,30 @@
   private void replace(FuzzVm vm) {
     FuzzVm fresh = newVm(vm.id().value());
     vms.set(vms.indexOf(vm), fresh);
+    boot(fresh);
     refreshDirectory(fresh, true);
   }
 
+  /** Boots from the newest snapshot, or with the log down from a peer, through the real codec. */
+  private void boot(FuzzVm vm) {
+    try {
+      if (!log.isDown()) {
+        vm.boot(log.readSnapshot());
+        return;
+      }
+      FuzzVm peer = vms.get(choices.next(vms.size()));
+      vm.boot(SnapshotCodec.decode(SnapshotCodec.encode(peer.snapshot())));
+    } catch (IOException e) {
+      throw new IllegalStateException("a snapshot of our own does not decode", e);
+    }
+  }
+
+  private void writeSnapshot(FuzzVm vm, boolean whole) {
+    if (!log.isDown()) {
+      log.writeSnapshot(vm.snapshot(), whole);
+    }
+  }
+
   /** Lets a VM work off what it has proposed, as a planned stop does, then replaces it. */
   private void stopAsPlanned(FuzzVm vm) {
     if (vm.isPaused() || log.isDown()) {
@@ -456,7 +482,7 @@
 
   private boolean isQuiet() {
     return truth.allocations().isEmpty()
-        && truth.jobs().size() == truth.ended().size()
+        && truth.openJobs() == 0
         && caller.accepted().keySet().stream().allMatch(truth.jobs()::containsKey)
         && vms.stream().allMatch(FuzzVm::isDrained);
   }
--- a/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
@@ -255,7 +255,7 @@
     gauge("journal.appends", journalWriter::appends);
     gauge("journal.records", journalWriter::records);
     gauge("config.offset", () -> state.config().offset());
-    gauge("jobs.open", () -> state.jobs().jobs().size() - state.jobs().ended().size());
+    gauge("jobs.open", () -> state.jobs().openJobs());
     gauge("accelerators.held", () -> state.jobs().holders().size());
     gauge("driver.gangs", driver.driver()::size);
     gauge("http.connections", caller::openConnections);
--- a/org.peridotroute.standin/src/org/peridotroute/standin/LogStandIn.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/LogStandIn.java
@@ -103,9 +103,22 @@
    */
   public synchronized void retain(String stream, int keep) {
     Stream source = streams.computeIfAbsent(stream, name -> new Stream());
-    int drop = Math.max(0, source.records.size() - keep);
-    source.records.subList(0, drop).clear();
-    source.firstOffset += drop;
+    retainFrom(stream, source.end() - keep);
+  }
+
+  /**
+   * Drops all records of a stream before an offset, as retention does.
+   *
+   * @param stream the stream
+   * @param offset the first offset to keep
+   */
+  public synchronized void retainFrom(String stream, long offset) {
+    Stream source = streams.computeIfAbsent(stream, name -> new Stream());
+    long drop = Math.min(source.records.size(), offset - source.firstOffset);
+    if (drop > 0) {
+      source.records.subList(0, (int) drop).clear();
+      source.firstOffset += drop;
+    }
   }
 
   /**
--- a/org.peridotroute/src/org/peridotroute/control/Proposals.java
+++ b/org.peridotroute/src/org/peridotroute/control/Proposals.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.peridotroute.errors.OutcomeUnknownException;
 import org.peridotroute.fold.Verdict;
+import org.peridotroute.fold.Writers;
 import org.peridotroute.journal.Envelope;
 import org.peridotroute.journal.LogEntry;
 import org.peridotroute.journal.LogRecord;
@@ -61,10 +63,27 @@
     }
   }
 
+  /**
+   * Fails what was decided in records that were never read, since state was taken over from a
+   * snapshot: it may or may not have been accepted.
+   *
+   * @param writers how far each writer has come in the snapshot
+   */
+  public void skip(Writers writers) {
+    Writers.Mark mark = writers.marks().get(writer);
+    if (mark != null) {
+      fail(open.headMap(mark.sequence(), true));
+    }
+  }
+
   /** Fails everything that is open, since nobody will read on. */
   public void abandon() {
-    List<CompletableFuture<Verdict>> left = new ArrayList<>(open.values());
-    open.clear();
+    fail(open);
+  }
+
+  private static void fail(Map<Long, CompletableFuture<Verdict>> undecided) {
+    List<CompletableFuture<Verdict>> left = new ArrayList<>(undecided.values());
+    undecided.clear();
     left.forEach(outcome -> outcome.completeExceptionally(new OutcomeUnknownException()));
   }
 
--- a/org.peridotroute/src/org/peridotroute/fold/ConfigFold.java
+++ b/org.peridotroute/src/org/peridotroute/fold/ConfigFold.java
@@ -4,7 +4,6 @@
 import org.peridotroute.journal.Envelope;
 import org.peridotroute.journal.LogEntry;
 import org.peridotroute.journal.LogRecord;
-import org.peridotroute.lib.Incarnation;
 import org.peridotroute.lib.OrganisationId;
 
 /**
@@ -26,12 +25,11 @@
    */
   public static Folded<ConfigState> fold(ConfigState state, LogEntry entry) {
     Envelope envelope = entry.envelope();
-    Long last = state.sequences().get(envelope.writer());
-    if (last != null && envelope.sequence() <= last) {
-      return new Folded<>(at(state, entry, state.sequences()), Verdict.REPEATED);
+    if (state.writers().hasSeen(envelope)) {
+      return new Folded<>(at(state, entry, state.writers()), Verdict.REPEATED);
     }
-    ConfigState marked =
-        at(state, entry, state.sequences().plus(envelope.writer(), envelope.sequence()));
+    Writers writers = state.writers().plus(envelope.writer(), envelope.sequence(), entry.offset());
+    ConfigState marked = at(state, entry, writers);
     if (envelope.record() instanceof LogRecord.OrganisationPut put) {
       return put(marked, put);
     }
@@ -41,9 +39,8 @@
     return new Folded<>(marked, Verdict.WRONG_STREAM);
   }
 
-  private static ConfigState at(
-      ConfigState state, LogEntry entry, TreePMap<Incarnation, Long> sequences) {
-    return new ConfigState(entry.offset(), state.organisations(), sequences);
+  private static ConfigState at(ConfigState state, LogEntry entry, Writers writers) {
+    return new ConfigState(entry.offset(), state.organisations(), writers);
   }
 
   private static Folded<ConfigState> put(ConfigState state, LogRecord.OrganisationPut record) {
@@ -77,6 +74,6 @@
   private static Folded<ConfigState> accepted(
       ConfigState state, TreePMap<OrganisationId, ConfigState.Declared> organisations) {
     return new Folded<>(
-        new ConfigState(state.offset(), organisations, state.sequences()), Verdict.ACCEPTED);
+        new ConfigState(state.offset(), organisations, state.writers()), Verdict.ACCEPTED);
   }
 }
--- a/org.peridotroute/src/org/peridotroute/fold/ConfigState.java
+++ b/org.peridotroute/src/org/peridotroute/fold/ConfigState.java
@@ -1,7 +1,6 @@
 package org.peridotroute.fold;
 
 import org.pcollections.TreePMap;
-import org.peridotroute.lib.Incarnation;
 import org.peridotroute.lib.Organisation;
 import org.peridotroute.lib.OrganisationId;
 
@@ -10,14 +9,12 @@
  *
  * @param offset offset of the last record folded, 0 before the first
  * @param organisations declared organisations
- * @param sequences last sequence folded by writer
+ * @param writers how far each writer has come
  */
 public record ConfigState(
-    long offset,
-    TreePMap<OrganisationId, Declared> organisations,
-    TreePMap<Incarnation, Long> sequences) {
+    long offset, TreePMap<OrganisationId, Declared> organisations, Writers writers) {
   /** The state before the first record. */
-  public static final ConfigState EMPTY = new ConfigState(0, TreePMap.empty(), TreePMap.empty());
+  public static final ConfigState EMPTY = new ConfigState(0, TreePMap.empty(), Writers.NONE);
 
   /**
    * An organisation with the revision of its declaration.
--- a/org.peridotroute/src/org/peridotroute/fold/JobFold.java
+++ b/org.peridotroute/src/org/peridotroute/fold/JobFold.java
@@ -35,9 +35,6 @@
   /** Characters of answers kept for callers to fetch. */
   public static final long MAX_ANSWER_CHARS = 12L * 1024 * 1024;
 
-  /** Writers whose sequences are remembered, far over the VMs that run at any time. */
-  public static final int MAX_WRITERS = 512;
-
   private JobFold() {}
 
   /**
@@ -48,17 +45,12 @@
    * @return the next state and the verdict; a refused record moves the offset alone
    */
   public static Folded<JobState> fold(JobState state, LogEntry entry) {
-    JobState at = state.withOffset(entry.offset());
     Envelope envelope = entry.envelope();
-    JobState.WriterMark mark = at.sequences().get(envelope.writer());
-    if (mark != null && envelope.sequence() <= mark.sequence()) {
-      return new Folded<>(at, Verdict.REPEATED);
-    }
-    JobState marked = at.withWriter(envelope.writer(), envelope.sequence());
-    if (marked.sequences().size() > MAX_WRITERS) {
-      marked = marked.withoutOldestWriter();
+    if (state.writers().hasSeen(envelope)) {
+      return new Folded<>(state.at(entry.offset(), state.writers()), Verdict.REPEATED);
     }
-    return apply(marked, envelope);
+    Writers writers = state.writers().plus(envelope.writer(), envelope.sequence(), entry.offset());
+    return apply(state.at(entry.offset(), writers), envelope);
   }
 
   private static Folded<JobState> apply(JobState state, Envelope envelope) {
@@ -103,7 +95,7 @@
       boolean same = known.spec().equals(record.spec());
       return new Folded<>(state, same ? Verdict.SAME_JOB : Verdict.NAME_TAKEN);
     }
-    if (state.jobs().size() - state.ended().size() >= MAX_OPEN_JOBS) {
+    if (state.openJobs() >= MAX_OPEN_JOBS) {
       return new Folded<>(state, Verdict.FULL);
     }
     Job job = Job.submitted(record.job(), record.spec(), state.offset(), timeMillis);
@@ -287,8 +279,8 @@
 
   private static Folded<JobState> finish(JobState state, Job job, Job.Change change) {
     JobState next = job.token() == 0 ? state : state.withReleasing(job.token());
-    next = next.withEnded(change.done());
-    while (next.ended().size() > MAX_ENDED_JOBS || next.answerBytes() > MAX_ANSWER_CHARS) {
+    next = next.withJob(change.done());
+    while (next.ended().size() > MAX_ENDED_JOBS || next.answerChars() > MAX_ANSWER_CHARS) {
       next = next.withoutOldestEnded();
     }
     return accepted(next);
--- a/org.peridotroute/src/org/peridotroute/fold/JobState.java
+++ b/org.peridotroute/src/org/peridotroute/fold/JobState.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import org.pcollections.TreePMap;
 import org.peridotroute.lib.AcceleratorId;
-import org.peridotroute.lib.Incarnation;
 import org.peridotroute.lib.JobKey;
 
 /**
@@ -16,9 +15,8 @@
  * @param allocations held accelerators by attempt token
  * @param holders attempt token by held accelerator
  * @param ended keys of ended jobs by the offset at which they ended
- * @param answerBytes bytes of the answers kept
- * @param sequences last sequence folded by writer
- * @param writerRevisions writers by the offset of their last record
+ * @param answerChars characters of the answers kept
+ * @param writers how far each writer has come
  */
 public record JobState(
     long offset,
@@ -27,9 +25,8 @@
     TreePMap<Long, Allocation> allocations,
     TreePMap<AcceleratorId, Long> holders,
     TreePMap<Long, JobKey> ended,
-    long answerBytes,
-    TreePMap<Incarnation, WriterMark> sequences,
-    TreePMap<Long, Incarnation> writerRevisions) {
+    long answerChars,
+    Writers writers) {
   /** The state before the first record. */
   public static final JobState EMPTY =
       new JobState(
@@ -40,16 +37,7 @@
           TreePMap.empty(),
           TreePMap.empty(),
           0,
-          TreePMap.empty(),
-          TreePMap.empty());
-
-  /**
-   * How far a writer has come.
-   *
-   * @param sequence its last sequence
-   * @param revision offset of that record
-   */
-  public record WriterMark(long sequence, long revision) {}
+          Writers.NONE);
 
   /**
    * Finds a job.
@@ -66,87 +54,36 @@
     return planner == null ? 0 : planner.epoch();
   }
 
-  JobState withOffset(long value) {
-    return new JobState(
-        value, planner, jobs, allocations, holders, ended, answerBytes, sequences, writerRevisions);
+  /** Returns the number of jobs that have not ended. */
+  public int openJobs() {
+    return jobs.size() - ended.size();
   }
 
-  JobState withPlanner(PlannerClaim value) {
+  JobState at(long nextOffset, Writers nextWriters) {
     return new JobState(
-        offset, value, jobs, allocations, holders, ended, answerBytes, sequences, writerRevisions);
+        nextOffset, planner, jobs, allocations, holders, ended, answerChars, nextWriters);
   }
 
-  JobState withJob(Job job) {
-    return new JobState(
-        offset,
-        planner,
-        jobs.plus(job.key(), job),
-        allocations,
-        holders,
-        ended,
-        answerBytes,
-        sequences,
-        writerRevisions);
+  JobState withPlanner(PlannerClaim claim) {
+    return new JobState(offset, claim, jobs, allocations, holders, ended, answerChars, writers);
   }
 
-  JobState withAllocation(Allocation allocation) {
-    TreePMap<AcceleratorId, Long> nextHolders = holders;
-    for (AcceleratorId id : allocation.acceleratorIds()) {
-      nextHolders = nextHolders.plus(id, allocation.token());
+  /** Returns the state with a job added or changed, and counted as ended if it is. */
+  JobState withJob(Job job) {
+    TreePMap<JobKey, Job> nextJobs = jobs.plus(job.key(), job);
+    if (!job.isEnded()) {
+      return new JobState(
+          offset, planner, nextJobs, allocations, holders, ended, answerChars, writers);
     }
     return new JobState(
         offset,
         planner,
-        jobs,
-        allocations.plus(allocation.token(), allocation),
-        nextHolders,
-        ended,
-        answerBytes,
-        sequences,
-        writerRevisions);
-  }
-
-  JobState withReleasing(long token) {
-    return withChanged(allocations.get(token).toReleasing());
-  }
-
-  JobState withChanged(Allocation held) {
-    return new JobState(
-        offset,
-        planner,
-        jobs,
-        allocations.plus(held.token(), held),
-        holders,
-        ended,
-        answerBytes,
-        sequences,
-        writerRevisions);
-  }
-
-  JobState withoutAllocation(Allocation allocation) {
-    return new JobState(
-        offset,
-        planner,
-        jobs,
-        allocations.minus(allocation.token()),
-        holders.minusAll(allocation.acceleratorIds()),
-        ended,
-        answerBytes,
-        sequences,
-        writerRevisions);
-  }
-
-  JobState withEnded(Job job) {
-    return new JobState(
-        offset,
-        planner,
-        jobs.plus(job.key(), job),
+        nextJobs,
         allocations,
         holders,
         ended.plus(job.revision(), job.key()),
-        answerBytes + bytes(job),
-        sequences,
-        writerRevisions);
+        answerChars + chars(job),
+        writers);
   }
 
   JobState withoutOldestEnded() {
@@ -159,42 +96,40 @@
         allocations,
         holders,
         ended.minus(oldest),
-        answerBytes - bytes(jobs.get(key)),
-        sequences,
-        writerRevisions);
+        answerChars - chars(jobs.get(key)),
+        writers);
   }
 
-  JobState withWriter(Incarnation writer, long sequence) {
-    WriterMark before = sequences.get(writer);
-    TreePMap<Long, Incarnation> revisions =
-        before == null ? writerRevisions : writerRevisions.minus(before.revision());
-    return new JobState(
-        offset,
-        planner,
-        jobs,
-        allocations,
-        holders,
-        ended,
-        answerBytes,
-        sequences.plus(writer, new WriterMark(sequence, offset)),
-        revisions.plus(offset, writer));
+  /** Returns the state with accelerators newly held. */
+  JobState withAllocation(Allocation allocation) {
+    TreePMap<AcceleratorId, Long> nextHolders = holders;
+    for (AcceleratorId id : allocation.acceleratorIds()) {
+      nextHolders = nextHolders.plus(id, allocation.token());
+    }
+    return withAllocations(allocations.plus(allocation.token(), allocation), nextHolders);
+  }
+
+  /** Returns the state with an allocation changed in something else than its accelerators. */
+  JobState withChanged(Allocation allocation) {
+    return withAllocations(allocations.plus(allocation.token(), allocation), holders);
+  }
+
+  JobState withReleasing(long token) {
+    return withChanged(allocations.get(token).toReleasing());
   }
 
-  JobState withoutOldestWriter() {
-    long oldest = writerRevisions.firstKey();
+  JobState withoutAllocation(Allocation allocation) {
+    return withAllocations(
+        allocations.minus(allocation.token()), holders.minusAll(allocation.acceleratorIds()));
+  }
+
+  private JobState withAllocations(
+      TreePMap<Long, Allocation> nextAllocations, TreePMap<AcceleratorId, Long> nextHolders) {
     return new JobState(
-        offset,
-        planner,
-        jobs,
-        allocations,
-        holders,
-        ended,
-        answerBytes,
-        sequences.minus(writerRevisions.get(oldest)),
-        writerRevisions.minus(oldest));
+        offset, planner, jobs, nextAllocations, nextHolders, ended, answerChars, writers);
   }
 
-  private static long bytes(Job job) {
+  private static long chars(Job job) {
     return job.answer() == null ? 0 : job.answer().body().length();
   }
 }
--- a/org.peridotroute/src/org/peridotroute/lib/Answer.java
+++ b/org.peridotroute/src/org/peridotroute/lib/Answer.java
@@ -2,9 +2,6 @@
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 
 /**
  * A whole answer with its digest, so that a cut or mixed one is never passed on.
@@ -33,11 +30,6 @@
   }
 
   private static String digest(String body) {
-    try {
-      MessageDigest sha = MessageDigest.getInstance("SHA-256");
-      return HexFormat.of().formatHex(sha.digest(body.getBytes(StandardCharsets.UTF_8)));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java platform has SHA-256", e);
-    }
+    return Digests.sha256(body.getBytes(StandardCharsets.UTF_8));
   }
 }
