--- a/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzMain.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzMain.java
@@ -1,8 +1,11 @@
 package org.peridotroute.bench.fuzz;
 
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.peridotroute.bench.Arguments;
+import org.peridotroute.bench.Figures;
 
 /** Runs the fuzzer for many steps: {@code fuzz --seed N --steps M}. */
 public final class FuzzMain {
@@ -16,8 +19,9 @@
    * @param arguments --seed N --steps M
    */
   public static void main(String[] arguments) {
-    long seed = argument(arguments, "--seed", 1);
-    long wanted = argument(arguments, "--steps", 100_000);
+    Arguments options = new Arguments(List.of(arguments));
+    long seed = options.number("--seed", 1);
+    long wanted = options.number("--steps", 100_000);
     Map<FaultKind, Long> faults = new EnumMap<>(FaultKind.class);
     long steps = 0;
     long violations = 0;
@@ -36,26 +40,12 @@
           .limit(3)
           .forEach(violation -> System.err.println("world seed " + worldSeed + ": " + violation));
     }
-    figure("fuzz.seed", seed, "", "");
-    figure("fuzz.steps", steps, "steps", "1000000");
-    figure("fuzz.jobs", accepted, "jobs", "");
-    faults.forEach((kind, count) -> figure("fuzz.faults." + kind, count, "faults", ""));
-    figure("fuzz.violations", violations, "violations", "0");
+    Figures figures = new Figures(System.out);
+    figures.print("fuzz.seed", seed, "");
+    figures.print("fuzz.steps", steps, "steps", "1000000", "");
+    figures.print("fuzz.jobs", accepted, "jobs");
+    faults.forEach((kind, count) -> figures.print("fuzz.faults." + kind, count, "faults"));
+    figures.print("fuzz.violations", violations, "violations", "0", "");
     System.exit(violations == 0 ? 0 : 1);
   }
-
-  private static long argument(String[] arguments, String name, long fallback) {
-    for (int i = 0; i + 1 < arguments.length; i++) {
-      if (arguments[i].equals(name)) {
-        return Long.parseLong(arguments[i + 1]);
-      }
-    }
-    return fallback;
-  }
-
-  private static void figure(String name, long value, String unit, String target) {
-    System.out.printf(
-        "{\"figure\":\"%s\",\"value\":%d,\"unit\":\"%s\",\"target\":\"%s\",\"baseline\":\"\"}%n",
-        name, value, unit, target);
-  }
 }
--- a/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzWorld.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzWorld.java
@@ -266,7 +266,9 @@
       return;
     }
     List<VmInfo> infos =
-        vms.stream().map(one -> new VmInfo(one.id(), new PlaceId("quimper"), false, "")).toList();
+        vms.stream()
+            .map(one -> new VmInfo(one.id(), new PlaceId("quimper"), false, "", null))
+            .toList();
     List<WorkerInfo> described =
         workers.values().stream()
             .map(WorkerStandIn::info)
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/DevCluster.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/DevCluster.java
@@ -18,6 +18,7 @@
         "vm": {"id": "%s", "place": "quimper"},
         "api": {"port": %d, "leaveMillis": 0, "drainMillis": 2000},
         "platform": {"url": "%s", "listMillis": 200},
+        "peer": {"port": 0},
         "planner": {"renewMillis": 500, "timeoutMillis": 2000},
         "gang": {"renewMillis": 300, "retryMillis": 200}
       }
@@ -93,6 +94,7 @@
     EntryVm vm = new EntryVm(SettingsReader.parse("dev settings", text));
     vm.start();
     vms.add(vm);
-    platform.addVm(new VmInfo(new VmId(id), new PlaceId("quimper"), false, vm.url()));
+    platform.addVm(
+        new VmInfo(new VmId(id), new PlaceId("quimper"), false, vm.url(), vm.peerAddress()));
   }
 }
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/PeridotctlMain.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/PeridotctlMain.java
@@ -1,6 +1,7 @@
 package org.peridotroute.pgm;
 
 import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.annotations.Group;
 import com.github.rvesse.airline.help.Help;
 
 /** Entry point of {@code peridotctl}, the command line of operators and callers. */
@@ -20,7 +21,13 @@
       CancelCommand.class,
       DumpCommand.class,
       SettingsSchemaCommand.class
-    })
+    },
+    groups =
+        @Group(
+            name = "config",
+            description = "configuration in force",
+            defaultCommand = ConfigStatusCommand.class,
+            commands = {ConfigStatusCommand.class}))
 public final class PeridotctlMain {
   private PeridotctlMain() {}
 
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/PlatformCommand.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/PlatformCommand.java
@@ -22,7 +22,7 @@
   @Option(name = "--workers", description = "workers in each rack")
   private int workers = 4;
 
-  @Option(name = "--vm", description = "a VM to probe, as NAME=PLACE=URL; may be repeated")
+  @Option(name = "--vm", description = "a VM to probe, as NAME=PLACE=URL=PEER; may be repeated")
   private List<String> vms = new ArrayList<>();
 
   @Override
@@ -46,11 +46,11 @@
   }
 
   private static VmInfo parse(String text) throws CommandException {
-    String[] parts = text.split("=", 3);
-    if (parts.length != 3) {
+    String[] parts = text.split("=", 4);
+    if (parts.length != 4) {
       throw new CommandException(
-          ExitCode.USAGE, "--vm is \"" + text + "\"; allowed is NAME=PLACE=URL");
+          ExitCode.USAGE, "--vm is \"" + text + "\"; allowed is NAME=PLACE=URL=PEER");
     }
-    return new VmInfo(new VmId(parts[0]), new PlaceId(parts[1]), false, parts[2]);
+    return new VmInfo(new VmId(parts[0]), new PlaceId(parts[1]), false, parts[2], parts[3]);
   }
 }
--- a/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
@@ -6,6 +6,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.peridotroute.control.Planner;
@@ -19,6 +20,7 @@
 import org.peridotroute.lib.Incarnation;
 import org.peridotroute.platform.LogClient;
 import org.peridotroute.policy.GuaranteedBestFit;
+import org.peridotroute.proto.PeerStatus;
 import org.peridotroute.server.api.ApiErrors;
 import org.peridotroute.server.api.ApiException;
 import org.peridotroute.server.api.ClusterResource;
@@ -26,10 +28,14 @@
 import org.peridotroute.server.api.ErrorCode;
 import org.peridotroute.server.api.JobResource;
 import org.peridotroute.server.api.OrganisationResource;
+import org.peridotroute.server.api.PeerResource;
 import org.peridotroute.server.client.HttpDirectoryClient;
 import org.peridotroute.server.client.HttpLogClient;
 import org.peridotroute.server.client.HttpWorkerGateway;
+import org.peridotroute.server.client.SnapshotStore;
+import org.peridotroute.server.peer.PeerService;
 import org.peridotroute.server.ring.DutyRing;
+import org.peridotroute.server.service.BootService;
 import org.peridotroute.server.service.DirectoryService;
 import org.peridotroute.server.service.DriverService;
 import org.peridotroute.server.service.Event;
@@ -39,9 +45,11 @@
 import org.peridotroute.server.service.LoggingSink;
 import org.peridotroute.server.service.PlannerService;
 import org.peridotroute.server.service.ProcessHealth;
+import org.peridotroute.server.service.SnapshotService;
 import org.peridotroute.server.service.Streams;
 import org.peridotroute.server.settings.Setting;
 import org.peridotroute.server.settings.Settings;
+import org.peridotroute.snapshot.Snapshot;
 
 /**
  * One process on an entry VM: all its services, wired. Started once and stopped once, by the same
@@ -61,6 +69,9 @@
   private final Proposals configProposals = new Proposals(incarnation);
   private final HttpCaller caller = new HttpCaller();
   private final DirectoryService directory;
+  private final PeerService peers;
+  private final BootService boot;
+  private final SnapshotService snapshots;
   private final LogWriterService journalWriter;
   private final LogWriterService configWriter;
   private final FoldService fold;
@@ -86,9 +97,13 @@
             this::signal);
     journalWriter = newWriter(Streams.JOURNAL, log, journalProposals);
     configWriter = newWriter(Streams.CONFIG, log, configProposals);
+    SnapshotStore store = new SnapshotStore(log);
+    peers = newPeers();
+    boot = new BootService(store, peers, health, this::onBooted);
     fold =
         new FoldService(
             log,
+            store,
             state,
             health,
             journalProposals,
@@ -97,6 +112,14 @@
             brokenInvariant::complete);
     RecordSink journal = new LoggingSink(settings.vmId(), journalWriter);
     planner = newPlanner(journal);
+    snapshots =
+        new SnapshotService(
+            store,
+            state,
+            () -> planner.planner().isMine(state.jobs()),
+            incarnation.value(),
+            settings.number(Setting.SNAPSHOT_RECORDS),
+            settings.number(Setting.SNAPSHOT_MILLIS));
     HttpWorkerGateway gateway =
         new HttpWorkerGateway(caller, directory::directory, settings.number(Setting.GANG_CALL));
     driver =
@@ -104,7 +127,7 @@
             settings.vmId(),
             settings.gangTimes(),
             state,
-            directory,
+            peers::members,
             health,
             gateway,
             journal,
@@ -117,12 +140,13 @@
   public void start() {
     caller.start();
     directory.start();
-    fold.start();
+    peers.start();
     journalWriter.start();
     configWriter.start();
     planner.start();
     driver.start();
     http.start();
+    boot.start();
     Event.of("started")
         .with("vm", settings.vmId())
         .with("incarnation", incarnation)
@@ -141,11 +165,14 @@
     state.jobHistory().close();
     state.organisationHistory().close();
     http.stop(settings.number(Setting.API_DRAIN));
+    boot.stop();
+    snapshots.stop();
     planner.stop();
     driver.stop();
     journalWriter.stop();
     configWriter.stop();
     fold.stop();
+    peers.stop();
     directory.stop();
     caller.stop();
     Event.of("stopped").with("vm", settings.vmId()).log(LOGGER, System.Logger.Level.INFO);
@@ -156,6 +183,11 @@
     return http.url();
   }
 
+  /** Returns where peers reach the process, once started. */
+  public String peerAddress() {
+    return peers.address();
+  }
+
   /** Returns whether the process takes part. */
   public ProcessHealth health() {
     return health;
@@ -209,11 +241,44 @@
         .build();
   }
 
+  private PeerService newPeers() {
+    return PeerService.newBuilder(
+            settings.vmId(),
+            settings.text(Setting.PEER_HOST),
+            (int) settings.number(Setting.PEER_PORT))
+        .setStatusMillis(settings.number(Setting.PEER_STATUS))
+        .setSuspectMillis(settings.number(Setting.PEER_SUSPECT))
+        .setListed(directory::directory)
+        .setOwnStatus(this::status)
+        .setOwnState(() -> health.canAct() ? Optional.of(state.snapshot()) : Optional.empty())
+        .setOnChange(this::signal)
+        .build();
+  }
+
+  private void onBooted(Snapshot snapshot) {
+    fold.start(snapshot);
+    snapshots.start();
+  }
+
+  private PeerStatus status() {
+    return PeerStatus.newBuilder()
+        .setVm(settings.vmId().value())
+        .setIncarnation(incarnation.value())
+        .setPlace(settings.place().value())
+        .setJournalOffset(state.jobs().offset())
+        .setConfigOffset(state.config().offset())
+        .setDrivenGangs(driver.driver().size())
+        .setOpenJobs(state.jobs().openJobs())
+        .setReady(health.reasons().isEmpty())
+        .setLeaving(health.isLeaving())
+        .build();
+  }
+
   private PlannerService newPlanner(RecordSink journal) {
     GuaranteedBestFit policy = new GuaranteedBestFit(settings.number(Setting.PLANNER_HOLD_RACK));
     Planner role =
         new Planner(settings.vmId(), incarnation, settings.plannerTimes(), policy, journal);
-    return new PlannerService(role, state, directory, health, brokenInvariant::complete);
+    return new PlannerService(role, state, peers::members, health, brokenInvariant::complete);
   }
 
   private HttpService newHttp(RecordSink journal, RecordSink config) {
@@ -232,6 +297,7 @@
         .addTo(builder);
     new OrganisationResource(state, new Committer(config, configWriter, health, timeoutMillis))
         .addTo(builder);
+    new PeerResource(this::status, peers).addTo(builder);
     new ClusterResource(state, directory::directory).addTo(builder);
     return builder
         .route("GET", "/v1/health", request -> healthReply())
--- a/org.peridotroute.server/src/org/peridotroute/server/api/Committer.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/Committer.java
@@ -44,7 +44,7 @@
     if (!health.canAct()) {
       throw new ApiException(ErrorCode.NOT_READY, "not ready: " + health.reasons());
     }
-    if (writer.isStalled()) {
+    if (writer.isStalled(health.logSilentMillis())) {
       throw new ApiException(
           ErrorCode.LOG_UNAVAILABLE, "the log takes nothing at present; nothing was sent");
     }
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/PeerResource.java
@@ -0,0 +1,67 @@
+package org.peridotroute.server.api;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.peridotroute.http.HttpReply;
+import org.peridotroute.http.HttpService;
+import org.peridotroute.proto.PeerStatus;
+import org.peridotroute.server.peer.PeerService;
+import org.peridotroute.server.view.Page;
+import org.peridotroute.server.view.PeerView;
+
+/** The VMs, with the offsets up to which each has come. Safe for use by several threads. */
+public final class PeerResource {
+  private final Supplier<PeerStatus> ownStatus;
+  private final PeerService peers;
+
+  /**
+   * Creates the resource.
+   *
+   * @param ownStatus this VM's own status
+   * @param peers the other VMs
+   */
+  public PeerResource(Supplier<PeerStatus> ownStatus, PeerService peers) {
+    this.ownStatus = ownStatus;
+    this.peers = peers;
+  }
+
+  /**
+   * Adds the routes.
+   *
+   * @param http the server
+   */
+  public void addTo(HttpService.Builder http) {
+    http.route("GET", "/v1/vms", request -> list());
+  }
+
+  private HttpReply list() {
+    PeerStatus own = ownStatus.get();
+    List<PeerView> views = new ArrayList<>();
+    views.add(view(own, false, 0));
+    peers.heard().values().forEach(heard -> views.add(view(heard)));
+    views.sort(java.util.Comparator.comparing(PeerView::vm));
+    return HttpReply.ok(new Page<>(views, own.getJournalOffset(), null));
+  }
+
+  private PeerView view(PeerService.Heard heard) {
+    long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heard.atNanos());
+    return view(heard.status(), peers.isSuspect(heard), ageMillis);
+  }
+
+  private static PeerView view(PeerStatus status, boolean suspect, long ageMillis) {
+    return new PeerView(
+        status.getVm(),
+        status.getIncarnation(),
+        status.getPlace(),
+        status.getJournalOffset(),
+        status.getConfigOffset(),
+        status.getDrivenGangs(),
+        status.getOpenJobs(),
+        status.getReady(),
+        status.getLeaving(),
+        suspect,
+        ageMillis);
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/client/SnapshotStore.java
@@ -0,0 +1,97 @@
+package org.peridotroute.server.client;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
+import org.peridotroute.errors.LogUnavailableException;
+import org.peridotroute.errors.RecordsExpiredException;
+import org.peridotroute.platform.LogClient;
+import org.peridotroute.platform.LogPage;
+import org.peridotroute.snapshot.Snapshot;
+import org.peridotroute.snapshot.SnapshotAssembler;
+import org.peridotroute.snapshot.SnapshotChunk;
+import org.peridotroute.snapshot.SnapshotCodec;
+
+/** Snapshots on the platform's log. Blocking; safe for use by several threads. */
+public final class SnapshotStore {
+  private static final String STREAM = "snapshots";
+  private static final int WINDOW_RECORDS = 32;
+  private static final long PAST_THE_END = Long.MAX_VALUE / 2;
+
+  private final LogClient log;
+
+  /**
+   * Creates a store.
+   *
+   * @param log the log
+   */
+  public SnapshotStore(LogClient log) {
+    this.log = log;
+  }
+
+  /**
+   * Writes a snapshot, one chunk to an append.
+   *
+   * @param id the snapshot's id, unique to it
+   * @param snapshot the snapshot
+   * @return bytes of the chunks' texts
+   * @throws LogUnavailableException if the log does not take it; a part may be written
+   * @throws InterruptedException if interrupted while waiting
+   */
+  public long write(String id, Snapshot snapshot) throws InterruptedException {
+    long bytes = 0;
+    for (String text : SnapshotCodec.split(id, snapshot, SnapshotChunk.MAX_DATA_BYTES)) {
+      try {
+        var unused = log.append(STREAM, List.of(text)).get();
+        bytes += text.length();
+      } catch (ExecutionException e) {
+        throw new LogUnavailableException(STREAM, e.getCause().getMessage());
+      }
+    }
+    return bytes;
+  }
+
+  /**
+   * Reads the newest whole snapshot, from the end of the stream backwards.
+   *
+   * @return the snapshot, empty if there is none
+   * @throws LogUnavailableException if the log does not answer
+   * @throws InterruptedException if interrupted while waiting
+   */
+  public Optional<Snapshot> readNewest() throws InterruptedException {
+    LogPage end = read(PAST_THE_END);
+    SnapshotAssembler assembler = new SnapshotAssembler();
+    long to = end.endOffset();
+    while (to > end.earliestOffset() && assembler.newest().isEmpty()) {
+      long from = Math.max(end.earliestOffset(), to - WINDOW_RECORDS);
+      readRange(from, to, assembler);
+      to = from;
+    }
+    return assembler.newest();
+  }
+
+  private void readRange(long from, long to, SnapshotAssembler assembler)
+      throws InterruptedException {
+    long next = from;
+    while (next < to) {
+      LogPage page = read(next);
+      if (page.records().isEmpty()) {
+        return;
+      }
+      page.records().stream().limit(to - next).forEach(assembler::add);
+      next += page.records().size();
+    }
+  }
+
+  private LogPage read(long from) throws InterruptedException {
+    try {
+      return log.read(STREAM, from, WINDOW_RECORDS, 0).get();
+    } catch (ExecutionException | CompletionException e) {
+      if (e.getCause() instanceof RecordsExpiredException expired) {
+        return read(expired.earliestOffset());
+      }
+      throw new LogUnavailableException(STREAM, e.getCause().getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/org.peridotroute.server/src/org/peridotroute/server/peer/FrameCodec.java
@@ -0,0 +1,44 @@
+package org.peridotroute.server.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.ByteBufOutputStream;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.MessageToMessageCodec;
+import java.io.IOException;
+import java.util.List;
+import org.peridotroute.proto.PeerFrame;
+
+/** Turns protobuf messages into frames with their length before them, and back. */
+final class FrameCodec extends MessageToMessageCodec<ByteBuf, PeerFrame> {
+  private static final int MAX_FRAME_BYTES = 256 * 1024;
+  private static final int LENGTH_BYTES = 4;
+
+  static void addTo(ChannelPipeline pipeline) {
+    pipeline.addLast(
+        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+        new LengthFieldPrepender(LENGTH_BYTES),
+        new FrameCodec());
+  }
+
+  @Override
+  protected void encode(ChannelHandlerContext context, PeerFrame frame, List<Object> out)
+      throws IOException {
+    ByteBuf buffer = context.alloc().buffer(frame.getSerializedSize());
+    try (ByteBufOutputStream stream = new ByteBufOutputStream(buffer)) {
+      frame.writeTo(stream);
+    }
+    out.add(buffer);
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+      throws IOException {
+    try (ByteBufInputStream stream = new ByteBufInputStream(buffer)) {
+      out.add(PeerFrame.parseFrom(stream));
+    }
+  }
+}
--- a/org.peridotroute.server/src/org/peridotroute/server/service/DriverService.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/DriverService.java
@@ -2,9 +2,11 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.peridotroute.control.GangDriver;
 import org.peridotroute.control.GangTimes;
 import org.peridotroute.control.RecordSink;
+import org.peridotroute.lib.Directory;
 import org.peridotroute.lib.VmId;
 import org.peridotroute.server.client.HttpWorkerGateway;
 import org.peridotroute.server.ring.Duty;
@@ -16,7 +18,7 @@
   private static final long TICK_MILLIS = 100;
 
   private final FoldedState state;
-  private final DirectoryService directory;
+  private final Supplier<Directory> members;
   private final ProcessHealth health;
   private final HttpWorkerGateway gateway;
   private final DutyRing<Runnable> ring;
@@ -28,7 +30,7 @@
    * @param self this VM
    * @param times times of gangs
    * @param state the folded state
-   * @param directory the list
+   * @param members the list, joined with what was heard from peers
    * @param health says whether the process may act
    * @param gateway the way to workers
    * @param sink where records are proposed
@@ -38,13 +40,13 @@
       VmId self,
       GangTimes times,
       FoldedState state,
-      DirectoryService directory,
+      Supplier<Directory> members,
       ProcessHealth health,
       HttpWorkerGateway gateway,
       RecordSink sink,
       Consumer<Throwable> onBrokenInvariant) {
     this.state = state;
-    this.directory = directory;
+    this.members = members;
     this.health = health;
     this.gateway = gateway;
     ring = new DutyRing<>("driver", RING_SLOTS, TICK_MILLIS, this, onBrokenInvariant);
@@ -86,8 +88,7 @@
     if (!health.canAct()) {
       return;
     }
-    driver.step(
-        state.jobs(), directory.directory(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    driver.step(state.jobs(), members.get(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
     gateway.flush();
   }
 
--- a/org.peridotroute.server/src/org/peridotroute/server/service/FoldService.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/FoldService.java
@@ -1,8 +1,10 @@
 package org.peridotroute.server.service;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.peridotroute.control.Proposals;
+import org.peridotroute.errors.LogUnavailableException;
 import org.peridotroute.fold.ConfigFold;
 import org.peridotroute.fold.ConfigState;
 import org.peridotroute.fold.Folded;
@@ -12,9 +14,11 @@
 import org.peridotroute.journal.LogRecord;
 import org.peridotroute.lib.JobKey;
 import org.peridotroute.platform.LogClient;
+import org.peridotroute.server.client.SnapshotStore;
 import org.peridotroute.server.ring.Duty;
 import org.peridotroute.server.ring.DutyRing;
 import org.peridotroute.server.view.JobView;
+import org.peridotroute.snapshot.Snapshot;
 
 /**
  * Folds both streams on one thread, publishes each state, then tells the verdicts to whoever
@@ -24,6 +28,7 @@
   private static final int RING_SLOTS = 64;
   private static final long TICK_MILLIS = 1_000;
 
+  private final SnapshotStore store;
   private final FoldedState state;
   private final ProcessHealth health;
   private final Proposals journalProposals;
@@ -37,6 +42,7 @@
    * Creates the service.
    *
    * @param log the log
+   * @param store snapshots, for when records are past retention
    * @param state where states are published
    * @param health told when the streams were read to their ends
    * @param journalProposals this process's proposals to the journal
@@ -46,27 +52,34 @@
    */
   public FoldService(
       LogClient log,
+      SnapshotStore store,
       FoldedState state,
       ProcessHealth health,
       Proposals journalProposals,
       Proposals configProposals,
       Runnable onChange,
       Consumer<Throwable> onBrokenInvariant) {
+    this.store = store;
     this.state = state;
     this.health = health;
     this.journalProposals = journalProposals;
     this.configProposals = configProposals;
     this.onChange = onChange;
     ring = new DutyRing<>("fold", RING_SLOTS, TICK_MILLIS, this, onBrokenInvariant);
-    journal = new StreamReader(Streams.JOURNAL, state.jobs().offset() + 1, log, health, ring::put);
-    config = new StreamReader(Streams.CONFIG, state.config().offset() + 1, log, health, ring::put);
+    journal = new StreamReader(Streams.JOURNAL, log, health, ring::put, this::reload);
+    config = new StreamReader(Streams.CONFIG, log, health, ring::put, this::reload);
   }
 
-  /** Starts folding and reading. */
-  public void start() {
+  /**
+   * Starts folding and reading.
+   *
+   * @param snapshot the state to begin with
+   */
+  public void start(Snapshot snapshot) {
+    state.load(snapshot);
     ring.start();
-    config.start();
-    journal.start();
+    config.start(state.config().offset() + 1);
+    journal.start(state.jobs().offset() + 1);
   }
 
   /** Stops reading and folding; open proposals fail as unknown. */
@@ -85,11 +98,16 @@
 
   @Override
   public void onEvent(StreamReader.ReadBatch batch) {
+    if (batch.snapshot() != null) {
+      load(batch.snapshot());
+      return;
+    }
     boolean isJournal = batch.stream().equals(Streams.JOURNAL);
     for (LogEntry entry : batch.entries()) {
-      if (isJournal) {
+      if (isJournal && entry.offset() > state.jobs().offset()) {
         foldJournal(entry);
-      } else {
+      }
+      if (!isJournal && entry.offset() > state.config().offset()) {
         foldConfig(entry);
       }
     }
@@ -106,6 +124,26 @@
     onChange.run();
   }
 
+  private long reload(String stream) throws InterruptedException {
+    try {
+      Optional<Snapshot> snapshot = store.readNewest();
+      if (snapshot.isEmpty()) {
+        return 0;
+      }
+      ring.put(new StreamReader.ReadBatch(stream, List.of(), 0, snapshot.get()));
+      boolean isJournal = stream.equals(Streams.JOURNAL);
+      return 1 + (isJournal ? snapshot.get().jobs().offset() : snapshot.get().config().offset());
+    } catch (LogUnavailableException e) {
+      return 0;
+    }
+  }
+
+  private void load(Snapshot snapshot) {
+    state.load(snapshot);
+    journalProposals.skip(state.jobs().writers());
+    configProposals.skip(state.config().writers());
+  }
+
   private void foldJournal(LogEntry entry) {
     Folded<JobState> folded = JobFold.fold(state.jobs(), entry);
     state.publish(folded.state());
--- a/org.peridotroute.server/src/org/peridotroute/server/service/FoldedState.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/FoldedState.java
@@ -4,6 +4,7 @@
 import org.peridotroute.fold.JobState;
 import org.peridotroute.lib.Organisation;
 import org.peridotroute.server.view.JobView;
+import org.peridotroute.snapshot.Snapshot;
 
 /**
  * The folded state as the rest of the process sees it. Written by the fold's thread alone, read by
@@ -37,6 +38,27 @@
     return organisationHistory;
   }
 
+  /**
+   * Returns both states as a snapshot.
+   *
+   * @return the snapshot
+   */
+  public Snapshot snapshot() {
+    return new Snapshot(jobs, config);
+  }
+
+  /** Takes state over from elsewhere where it is newer; watches that are behind list again. */
+  void load(Snapshot snapshot) {
+    if (snapshot.jobs().offset() > jobs.offset()) {
+      jobs = snapshot.jobs();
+      jobHistory.reset(jobs.offset());
+    }
+    if (snapshot.config().offset() > config.offset()) {
+      config = snapshot.config();
+      organisationHistory.reset(config.offset());
+    }
+  }
+
   void publish(JobState state) {
     jobs = state;
   }
--- a/org.peridotroute.server/src/org/peridotroute/server/service/LogWriterService.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/LogWriterService.java
@@ -98,10 +98,16 @@
     return outcome;
   }
 
-  /** Returns whether the log has taken nothing for so long that new work should be refused. */
-  public boolean isStalled() {
+  /**
+   * Returns whether the log has taken or given nothing for so long that new work should be refused.
+   *
+   * @param readSilentMillis how long the log has given nothing
+   * @return whether it should
+   */
+  public boolean isStalled(long readSilentMillis) {
     long since = failingSinceMillis;
-    return since >= 0 && nowMillis() - since >= stallMillis;
+    boolean appendsFail = since >= 0 && nowMillis() - since >= stallMillis;
+    return appendsFail || readSilentMillis >= stallMillis;
   }
 
   /** Returns the ring, for the dump. */
--- a/org.peridotroute.server/src/org/peridotroute/server/service/PlannerService.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/PlannerService.java
@@ -2,7 +2,9 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.peridotroute.control.Planner;
+import org.peridotroute.lib.Directory;
 import org.peridotroute.policy.ClusterView;
 import org.peridotroute.server.ring.Duty;
 import org.peridotroute.server.ring.DutyRing;
@@ -14,7 +16,7 @@
 
   private final Planner planner;
   private final FoldedState state;
-  private final DirectoryService directory;
+  private final Supplier<Directory> members;
   private final ProcessHealth health;
   private final DutyRing<Signal> ring;
 
@@ -29,19 +31,19 @@
    *
    * @param planner the role
    * @param state the folded state
-   * @param directory the list
+   * @param members the list, joined with what was heard from peers
    * @param health says whether the process may act
    * @param onBrokenInvariant told when the role throws
    */
   public PlannerService(
       Planner planner,
       FoldedState state,
-      DirectoryService directory,
+      Supplier<Directory> members,
       ProcessHealth health,
       Consumer<Throwable> onBrokenInvariant) {
     this.planner = planner;
     this.state = state;
-    this.directory = directory;
+    this.members = members;
     this.health = health;
     ring = new DutyRing<>("planner", RING_SLOTS, TICK_MILLIS, this, onBrokenInvariant);
   }
@@ -82,8 +84,7 @@
       return;
     }
     ClusterView view =
-        new ClusterView(
-            state.jobs(), state.config(), directory.directory(), System.currentTimeMillis());
+        new ClusterView(state.jobs(), state.config(), members.get(), System.currentTimeMillis());
     planner.step(view, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
   }
 }
--- a/org.peridotroute.server/src/org/peridotroute/server/service/ProcessHealth.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/ProcessHealth.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /** Whether the process takes part, and why not. Safe for use by several threads. */
 public final class ProcessHealth {
@@ -9,6 +10,7 @@
   private volatile boolean configCaughtUp;
   private volatile boolean directoryRead;
   private volatile boolean leaving;
+  private volatile long readFailingSinceNanos;
   private volatile String haltReason;
 
   /** Returns why the process is not ready; empty if it is. */
@@ -32,6 +34,16 @@
     return reasons;
   }
 
+  /**
+   * Returns how long the log has given nothing, in milliseconds.
+   *
+   * @return the time since the first failed read, 0 while reads succeed
+   */
+  public long logSilentMillis() {
+    long since = readFailingSinceNanos;
+    return since == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since);
+  }
+
   /** Returns whether state is whole, so that the process may act on it. */
   public boolean canAct() {
     return haltReason == null && journalCaughtUp && configCaughtUp && directoryRead;
@@ -56,6 +68,16 @@
     haltReason = reason;
   }
 
+  void readSucceeded() {
+    readFailingSinceNanos = 0;
+  }
+
+  void readFailed() {
+    if (readFailingSinceNanos == 0) {
+      readFailingSinceNanos = System.nanoTime();
+    }
+  }
+
   void journalCaughtUp() {
     journalCaughtUp = true;
   }
--- a/org.peridotroute.server/src/org/peridotroute/server/service/StreamReader.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/StreamReader.java
@@ -10,6 +10,7 @@
 import org.peridotroute.journal.RecordCodec;
 import org.peridotroute.platform.LogClient;
 import org.peridotroute.platform.LogPage;
+import org.peridotroute.snapshot.Snapshot;
 
 /** Tails one stream on a thread of its own and hands decoded records on, in order. */
 public final class StreamReader {
@@ -23,6 +24,7 @@
   private final LogClient log;
   private final ProcessHealth health;
   private final Consumer<ReadBatch> next;
+  private final Expiry expiry;
   private final Thread thread;
   private long offset;
   private boolean atEnd;
@@ -35,40 +37,55 @@
    * @param stream the stream
    * @param entries the records
    * @param endOffset offset that the next appended record will get
+   * @param snapshot state to take over first, null where the records follow on what was read
    */
-  public record ReadBatch(String stream, List<LogEntry> entries, long endOffset) {
+  public record ReadBatch(
+      String stream, List<LogEntry> entries, long endOffset, Snapshot snapshot) {
     /** Copies the list. */
     public ReadBatch {
       entries = List.copyOf(entries);
     }
   }
 
+  /** What to do when the records wanted next are past retention. */
+  public interface Expiry {
+    /**
+     * Takes state over from a snapshot.
+     *
+     * @param stream the stream that cannot be read on
+     * @return the offset to read on from, 0 if there is no snapshot that reaches far enough
+     * @throws InterruptedException if interrupted while waiting
+     */
+    long reload(String stream) throws InterruptedException;
+  }
+
   /**
    * Creates a reader.
    *
    * @param stream the stream
-   * @param fromOffset the first offset to read
    * @param log the log
    * @param health told when the stream cannot be read on
    * @param next takes what is read; blocks while it has no room
+   * @param expiry what to do when records are past retention
    */
   public StreamReader(
-      String stream,
-      long fromOffset,
-      LogClient log,
-      ProcessHealth health,
-      Consumer<ReadBatch> next) {
+      String stream, LogClient log, ProcessHealth health, Consumer<ReadBatch> next, Expiry expiry) {
     this.stream = stream;
     this.log = log;
     this.health = health;
     this.next = next;
-    offset = fromOffset;
+    this.expiry = expiry;
     thread = new Thread(this::run, "read-" + stream);
     thread.setDaemon(true);
   }
 
-  /** Starts reading. */
-  public void start() {
+  /**
+   * Starts reading.
+   *
+   * @param fromOffset the first offset to read
+   */
+  public void start(long fromOffset) {
+    offset = fromOffset;
     thread.start();
   }
 
@@ -88,6 +105,7 @@
       try {
         hand(log.read(stream, offset, MAX_RECORDS, atEnd ? WAIT_MILLIS : 0).get());
         failing = false;
+        health.readSucceeded();
       } catch (RecordFormatException e) {
         halt(e.getMessage());
       } catch (InterruptedException e) {
@@ -103,16 +121,30 @@
     for (String text : page.records()) {
       entries.add(RecordCodec.decode(stream, offset + entries.size(), text));
     }
-    next.accept(new ReadBatch(stream, entries, page.endOffset()));
-    offset += entries.size();
+    next.accept(new ReadBatch(stream, entries, page.endOffset(), null));
+    offset = offset + entries.size();
     atEnd = offset >= page.endOffset();
   }
 
+  private void onExpired(RecordsExpiredException expired) {
+    try {
+      long reloaded = expiry.reload(stream);
+      if (reloaded < expired.earliestOffset()) {
+        halt(expired.getMessage());
+      } else {
+        offset = reloaded;
+      }
+    } catch (InterruptedException e) {
+      stopped = true;
+    }
+  }
+
   private void onFailure(Throwable failure) {
-    if (failure instanceof RecordsExpiredException) {
-      halt(failure.getMessage());
+    if (failure instanceof RecordsExpiredException expired) {
+      onExpired(expired);
       return;
     }
+    health.readFailed();
     if (!failing) {
       failing = true;
       Event.of("log-read-failed")
--- a/org.peridotroute.server/src/org/peridotroute/server/settings/Setting.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/settings/Setting.java
@@ -25,6 +25,20 @@
   /** Time between telling of a planned stop and refusing requests. */
   API_LEAVE(
       "api.leaveMillis", 0, 600_000, 3_000, "time for the balancer to see that the VM leaves"),
+  /** Address of the peer port. */
+  PEER_HOST("peer.host", Kind.HOST, "127.0.0.1", "address the peer port listens on"),
+  /** Port for the other VMs. */
+  PEER_PORT("peer.port", 0, 65_535, 7_500, "port for the other VMs; 0 for any free one"),
+  /** Time between two statuses. */
+  PEER_STATUS("peer.statusMillis", 50, 60_000, 1_000, "time between two statuses to each VM"),
+  /** Silence after which a VM is suspected. */
+  PEER_SUSPECT("peer.suspectMillis", 100, 600_000, 3_500, "silence after which a VM is suspected"),
+  /** Records after which a snapshot is due. */
+  SNAPSHOT_RECORDS(
+      "snapshot.everyRecords", 10, 10_000_000, 20_000, "records after which a snapshot is due"),
+  /** Time after which a snapshot is due. */
+  SNAPSHOT_MILLIS(
+      "snapshot.everyMillis", 1_000, 86_400_000, 600_000, "time after which a snapshot is due"),
   /** The platform. */
   PLATFORM_URL("platform.url", Kind.URL, null, "URL of the platform's log and list"),
   /** Longest wait for the platform. */
--- a/org.peridotroute.server/src/org/peridotroute/server/settings/SettingsReader.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/settings/SettingsReader.java
@@ -118,6 +118,7 @@
   }
 
   private void checkTogether() {
+    atMost(Setting.PEER_STATUS, Setting.PEER_SUSPECT, 2);
     atMost(Setting.PLANNER_RENEW, Setting.PLANNER_TIMEOUT, 2);
     atMost(Setting.GANG_RENEW, Setting.GANG_LEASE, 2);
     atMost(Setting.GANG_RETRY, Setting.GANG_LEASE, 2);
--- a/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
@@ -282,7 +282,7 @@
               if (failure != null || (reply.status() == 503 && !reply.body().contains("leaving"))) {
                 return null;
               }
-              return new VmInfo(vm.id(), vm.place(), !reply.isOk(), vm.url());
+              return new VmInfo(vm.id(), vm.place(), !reply.isOk(), vm.url(), vm.peer());
             });
   }
 
