--- a/org.peridotroute.bench/src/org/peridotroute/bench/Figures.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/Figures.java
@@ -23,7 +23,7 @@
    * @param value its value
    * @param unit its unit
    */
-  public void print(String name, double value, String unit) {
+  public void print(String name, Number value, String unit) {
     print(name, value, unit, "", "");
   }
 
@@ -36,15 +36,14 @@
    * @param target what it should be
    * @param baseline what it is compared with
    */
-  public void print(String name, double value, String unit, String target, String baseline) {
+  public void print(String name, Number value, String unit, String target, String baseline) {
     out.println(
         "{\"figure\":\"%s\",\"value\":%s,\"unit\":\"%s\",\"target\":\"%s\",\"baseline\":\"%s\"}"
             .formatted(name, number(value), unit, target, baseline));
   }
 
-  private static String number(double value) {
-    return value == Math.rint(value) && Math.abs(value) < 1e15
-        ? Long.toString((long) value)
-        : String.format(Locale.ROOT, "%.4g", value);
+  private static String number(Number value) {
+    boolean whole = value instanceof Long || value instanceof Integer;
+    return whole ? value.toString() : String.format(Locale.ROOT, "%.4g", value.doubleValue());
   }
 }
