--- a/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzWorld.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzWorld.java
@@ -396,6 +396,7 @@
       case WORKER_RESTARTED -> worker.restart();
       case WORKER_FAILING -> worker.setFailingAll(on);
       case WORKER_LEAVING -> leaving.put(worker.info().id(), on);
+      default -> throw new IllegalStateException("no such fault: " + kind);
     }
     return true;
   }
--- a/org.peridotroute.http/src/org/peridotroute/http/HttpService.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/HttpService.java
@@ -24,6 +24,7 @@
 public final class HttpService {
   private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
   private static final int MAX_REQUEST_ID_CHARS = 64;
+  private static final long REFUSE_MILLIS = 250;
 
   private final String host;
   private final Undertow server;
@@ -77,7 +78,8 @@
   }
 
   /**
-   * Refuses new requests, waits for those in flight, then stops.
+   * Refuses new requests, waits for those in flight, then stops. Requests that were already on
+   * their way get a refusal and not a closed connection.
    *
    * @param drainMillis the longest wait
    */
@@ -85,6 +87,7 @@
     graceful.shutdown();
     try {
       graceful.awaitShutdown(drainMillis);
+      Thread.sleep(Math.min(REFUSE_MILLIS, drainMillis));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/org.peridotroute.http/src/org/peridotroute/http/Json.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/Json.java
@@ -12,10 +12,7 @@
 /** JSON as our interfaces speak it: unknown fields are faults. Safe for use by several threads. */
 public final class Json {
   private static final ObjectMapper MAPPER =
-      JsonMapper.builder()
-          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-          .build();
+      JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
   private static final ObjectWriter PRETTY =
       MAPPER.writer(new DefaultPrettyPrinter().withObjectIndenter(new DefaultIndenter("  ", "\n")));
--- a/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
@@ -112,14 +112,7 @@
             brokenInvariant::complete);
     RecordSink journal = new LoggingSink(settings.vmId(), journalWriter);
     planner = newPlanner(journal);
-    snapshots =
-        new SnapshotService(
-            store,
-            state,
-            () -> planner.planner().isMine(state.jobs()),
-            incarnation.value(),
-            settings.number(Setting.SNAPSHOT_RECORDS),
-            settings.number(Setting.SNAPSHOT_MILLIS));
+    snapshots = newSnapshots(store);
     HttpWorkerGateway gateway =
         new HttpWorkerGateway(caller, directory::directory, settings.number(Setting.GANG_CALL));
     driver =
@@ -241,6 +234,16 @@
         .build();
   }
 
+  private SnapshotService newSnapshots(SnapshotStore store) {
+    return new SnapshotService(
+        store,
+        state,
+        () -> planner.planner().isMine(state.jobs()),
+        incarnation.value(),
+        settings.number(Setting.SNAPSHOT_RECORDS),
+        settings.number(Setting.SNAPSHOT_MILLIS));
+  }
+
   private PeerService newPeers() {
     return PeerService.newBuilder(
             settings.vmId(),
--- a/org.peridotroute.server/src/org/peridotroute/server/settings/SettingsReader.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/settings/SettingsReader.java
@@ -90,8 +90,8 @@
       leaves.put(prefix, node);
       return;
     }
-    node.fields()
-        .forEachRemaining(
+    node.properties()
+        .forEach(
             field -> {
               String path = prefix.isEmpty() ? field.getKey() : prefix + "." + field.getKey();
               flatten(path, field.getValue(), leaves);
