--- /dev/null
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/failover/FailoverMain.java
@@ -0,0 +1,262 @@
+package org.peridotroute.bench.failover;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.peridotroute.bench.Arguments;
+import org.peridotroute.bench.Figures;
+import org.peridotroute.http.HttpCaller;
+import org.peridotroute.http.HttpReply;
+import org.peridotroute.http.Json;
+import org.peridotroute.lib.PlaceId;
+import org.peridotroute.lib.VmId;
+import org.peridotroute.lib.VmInfo;
+import org.peridotroute.lib.WorkerId;
+import org.peridotroute.standin.PlatformStandIn;
+import org.peridotroute.standin.TaskRun;
+
+/**
+ * Kills, pauses and replaces real processes and times how long it takes until a job that is
+ * submitted right after is placed: {@code failover --kills N --seed S --jar FILE}.
+ */
+public final class FailoverMain {
+  private static final int VMS = 4;
+  private static final int RACKS = 2;
+  private static final int WORKERS_PER_RACK = 4;
+  private static final long READY_MILLIS = 30_000;
+  private static final long PLACED_MILLIS = 60_000;
+  private static final long ENDED_MILLIS = 120_000;
+  private static final long POLL_MILLIS = 20;
+  private static final long CALL_MILLIS = 10_000;
+  private static final int PAUSE_MILLIS = 6_000;
+  private static final String SPEC =
+      "{\"shape\":{\"members\":2,\"acceleratorsPerMember\":1},\"payload\":\"run=%d echo=%s\"}";
+  private static final String ORGANISATION =
+      "{\"guarantees\":[{\"shape\":{\"members\":2,\"acceleratorsPerMember\":1},\"count\":32}]}";
+
+  private final HttpCaller caller = new HttpCaller();
+  private final Figures figures = new Figures(System.out);
+  private final SplittableRandom random;
+  private final PlatformStandIn platform;
+  private final List<ServeProcess> vms = new ArrayList<>();
+  private final List<String> accepted = new ArrayList<>();
+  private int jobs;
+
+  private FailoverMain(long seed, Path jar) throws IOException {
+    random = new SplittableRandom(seed);
+    platform =
+        PlatformStandIn.newBuilder(0).setRacks(RACKS).setWorkersPerRack(WORKERS_PER_RACK).build();
+    platform.start();
+    caller.start();
+    Path folder = Files.createTempDirectory("peridotroute-failover");
+    for (int i = 0; i < VMS; i++) {
+      ServeProcess vm =
+          new ServeProcess("vm-" + (i + 1), freePort(), freePort(), jar, folder, platform.url());
+      vms.add(vm);
+      platform.addVm(
+          new VmInfo(new VmId(vm.name()), new PlaceId("quimper"), false, vm.url(), vm.peer()));
+    }
+  }
+
+  /**
+   * Runs the bench.
+   *
+   * @param arguments --kills N --seed S --jar FILE
+   * @throws Exception if the processes cannot be started or do not become ready
+   */
+  public static void main(String[] arguments) throws Exception {
+    Arguments options = new Arguments(List.of(arguments));
+    Path jar = Path.of(options.text("--jar", "org.peridotroute.pgm/target/peridotroute.jar"));
+    FailoverMain bench = new FailoverMain(options.number("--seed", 1), jar);
+    try {
+      bench.run((int) options.number("--kills", 5));
+    } finally {
+      for (ServeProcess vm : bench.vms) {
+        vm.kill();
+      }
+      bench.platform.stop();
+    }
+    System.exit(0);
+  }
+
+  private void run(int kills) throws Exception {
+    for (ServeProcess vm : vms) {
+      vm.start();
+    }
+    for (ServeProcess vm : vms) {
+      awaitReady(vm);
+    }
+    call("PUT", vms.get(0), "/v1/organisations/le-goff", ORGANISATION);
+    report("calm", measure(kills, vm -> {}, vm -> {}));
+    report("planner_killed", measure(kills, ServeProcess::kill, this::startAgain));
+    report(
+        "planner_paused",
+        measure(
+            kills,
+            ServeProcess::pause,
+            vm -> {
+              Thread.sleep(PAUSE_MILLIS);
+              vm.resume();
+              awaitReady(vm);
+            }));
+    report("all_replaced", replaceAll());
+    reportJobs();
+  }
+
+  /** Something done to a process. */
+  private interface Deed {
+    void to(ServeProcess vm) throws Exception;
+  }
+
+  private Histogram measure(int times, Deed harm, Deed mend) throws Exception {
+    Histogram histogram = new Histogram(3);
+    for (int i = 0; i < times; i++) {
+      submit(500 + random.nextInt(4_000), vms.get(random.nextInt(VMS)));
+      ServeProcess planner = planner();
+      harm.to(planner);
+      histogram.recordValue(timeToPlacement(planner));
+      mend.to(planner);
+    }
+    return histogram;
+  }
+
+  /** Replaces all VMs one after the other, as a planned roll-out does. */
+  private Histogram replaceAll() throws Exception {
+    Histogram histogram = new Histogram(3);
+    for (ServeProcess vm : vms) {
+      submit(500 + random.nextInt(4_000), vm);
+      vm.stop();
+      histogram.recordValue(timeToPlacement(vm));
+      startAgain(vm);
+    }
+    return histogram;
+  }
+
+  private void startAgain(ServeProcess vm) throws Exception {
+    vm.start();
+    awaitReady(vm);
+  }
+
+  private long timeToPlacement(ServeProcess harmed) throws Exception {
+    ServeProcess other = vms.stream().filter(vm -> vm != harmed).findFirst().orElseThrow();
+    long startNanos = System.nanoTime();
+    String job = submit(200, other);
+    long deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(PLACED_MILLIS);
+    while (phase(other, job).equals("queued") && System.nanoTime() < deadlineNanos) {
+      Thread.sleep(POLL_MILLIS);
+    }
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+  }
+
+  private String submit(int runMillis, ServeProcess vm) throws Exception {
+    jobs++;
+    String name = "job-" + jobs;
+    HttpReply reply =
+        call("PUT", vm, "/v1/organisations/le-goff/jobs/" + name, SPEC.formatted(runMillis, name));
+    if (reply.isOk()) {
+      accepted.add(name);
+    }
+    return name;
+  }
+
+  private ServeProcess planner() throws Exception {
+    while (true) {
+      for (ServeProcess vm : vms) {
+        JsonNode dump = Json.readTree(call("GET", vm, "/v1/dump", null).body());
+        if (dump.path("isPlanner").asBoolean()) {
+          return vm;
+        }
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+  }
+
+  private void awaitReady(ServeProcess vm) throws InterruptedException {
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
+    while (System.nanoTime() < deadlineNanos) {
+      try {
+        if (call("GET", vm, "/v1/health", null).isOk()) {
+          return;
+        }
+      } catch (ExecutionException e) {
+        // The process does not listen yet.
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+    throw new IllegalStateException(vm.name() + " did not become ready");
+  }
+
+  private String phase(ServeProcess vm, String job) throws Exception {
+    HttpReply reply = call("GET", vm, "/v1/organisations/le-goff/jobs/" + job, null);
+    return reply.isOk() ? Json.readTree(reply.body()).path("phase").asText() : "queued";
+  }
+
+  private HttpReply call(String method, ServeProcess vm, String path, String body)
+      throws InterruptedException, ExecutionException {
+    return caller.call(method, vm.url() + path, body, CALL_MILLIS).get();
+  }
+
+  private void report(String name, Histogram millis) {
+    String target = name.equals("calm") ? "" : "6700";
+    figures.print(
+        "failover." + name + ".next_placement.p50", millis.getValueAtPercentile(50), "ms");
+    figures.print(
+        "failover." + name + ".next_placement.p99",
+        millis.getValueAtPercentile(99),
+        "ms",
+        target,
+        "");
+    figures.print("failover." + name + ".next_placement.max", millis.getMaxValue(), "ms");
+    figures.print("failover." + name + ".count", millis.getTotalCount(), "times");
+  }
+
+  private void reportJobs() throws Exception {
+    int lost = 0;
+    int unknown = 0;
+    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ENDED_MILLIS);
+    for (String job : accepted) {
+      while (!phase(vms.get(0), job).equals("ended") && System.nanoTime() < deadlineNanos) {
+        Thread.sleep(POLL_MILLIS);
+      }
+      String path = "/v1/organisations/le-goff/jobs/" + job;
+      JsonNode view = Json.readTree(call("GET", vms.get(0), path, null).body());
+      lost += view.path("phase").asText().equals("ended") ? 0 : 1;
+      unknown += view.path("outcome").asText().equals("unknown") ? 1 : 0;
+    }
+    figures.print("failover.jobs.accepted", accepted.size(), "jobs");
+    figures.print("failover.jobs.lost", lost, "jobs", "0", "");
+    figures.print("failover.jobs.unknown", unknown, "jobs");
+    figures.print("failover.jobs.run_twice", runTwice(), "jobs", "0", "");
+  }
+
+  private int runTwice() {
+    Set<String> seen = new HashSet<>();
+    Set<String> twice = new HashSet<>();
+    for (int rack = 1; rack <= RACKS; rack++) {
+      for (int i = 1; i <= WORKERS_PER_RACK; i++) {
+        for (TaskRun run : platform.worker(new WorkerId("w-" + rack + "-" + i)).runs()) {
+          if (!seen.add(run.job() + "#" + run.member())) {
+            twice.add(run.job().toString());
+          }
+        }
+      }
+    }
+    return twice.size();
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+}
