Replay job traces through the policy and two plain baselines

Cause: nothing measured the decisions. Adds a replay on virtual time with the real fold, generated workloads for both deployments and the target, first-in-first-out first-fit and best-fit as baselines, and rewrites the room of a pass as bit sets that are copied as arrays.

Losses no longer share the limit of starts with preemptions, which would have ended a job as unknown after being reclaimed eight times.

--- /dev/null
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/policy/ReplayFigures.java
@@ -0,0 +1,239 @@
+package org.peridotroute.bench.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.peridotroute.fold.ConfigState;
+import org.peridotroute.fold.Job;
+import org.peridotroute.fold.JobPhase;
+import org.peridotroute.fold.JobState;
+import org.peridotroute.lib.Directory;
+import org.peridotroute.lib.JobClass;
+import org.peridotroute.lib.JobKey;
+import org.peridotroute.lib.Member;
+import org.peridotroute.lib.Shape;
+import org.peridotroute.policy.Guarantees;
+import org.peridotroute.policy.Room;
+
+/** Collects the figures of one replay. Used by one thread. */
+final class ReplayFigures {
+  private static final int HALF_RACK = 32;
+  private static final int OBSERVE_EVERY = 10;
+  private static final long RECLAIM_BOUND_MILLIS = 30_000;
+
+  private final Map<JobKey, Long> firstStartMillis = new HashMap<>();
+  private final List<Done> done = new ArrayList<>();
+  private final int totalAccelerators;
+  private final long arrivalsEndMillis;
+  private double lostAcceleratorMillis;
+  private double usedAcceleratorMillis;
+  private double fragmentationMillis;
+  private double observedMillis;
+  private long lastMillis;
+  private int lastUsed;
+  private double lastFragmentation;
+  private int preemptions;
+  private int guaranteeViolations;
+  private int observations;
+  private long decideNanos;
+  private long decideMaxNanos;
+  private int passes;
+  private final Map<JobKey, Long> entitledSinceMillis = new HashMap<>();
+
+  /** A job that has ended. */
+  private record Done(TraceJob job, long waitMillis, long completionMillis) {}
+
+  ReplayFigures(Workload workload) {
+    totalAccelerators = workload.workers().stream().mapToInt(worker -> worker.accelerators()).sum();
+    List<TraceJob> jobs = workload.jobs();
+    arrivalsEndMillis = jobs.isEmpty() ? 0 : jobs.get(jobs.size() - 1).submitMillis();
+  }
+
+  <T> T timed(Supplier<T> pass) {
+    long startNanos = System.nanoTime();
+    T result = pass.get();
+    long nanos = System.nanoTime() - startNanos;
+    decideNanos += nanos;
+    decideMaxNanos = Math.max(decideMaxNanos, nanos);
+    passes++;
+    return result;
+  }
+
+  void started(TraceJob job, long nowMillis) {
+    firstStartMillis.putIfAbsent(job.key(), nowMillis);
+  }
+
+  void preempted(TraceJob job, long ranMillis) {
+    preemptions++;
+    if (!job.checkpointable()) {
+      lostAcceleratorMillis += (double) ranMillis * job.accelerators();
+    }
+  }
+
+  void ended(TraceJob job, long nowMillis) {
+    long waitMillis = firstStartMillis.get(job.key()) - job.submitMillis();
+    done.add(new Done(job, waitMillis, nowMillis - job.submitMillis()));
+  }
+
+  /** Looks at the state after a pass, for as long as jobs still arrive. */
+  void observe(long nowMillis, JobState jobs, ConfigState config, Directory directory) {
+    if (nowMillis > arrivalsEndMillis) {
+      return;
+    }
+    double sinceMillis = nowMillis - lastMillis;
+    usedAcceleratorMillis += sinceMillis * lastUsed;
+    fragmentationMillis += sinceMillis * lastFragmentation;
+    observedMillis += sinceMillis;
+    lastMillis = nowMillis;
+    lastUsed = jobs.holders().size();
+    checkGuarantees(nowMillis, jobs, config);
+    if (observations++ % OBSERVE_EVERY == 0) {
+      lastFragmentation = fragmentation(jobs, config, directory);
+    }
+  }
+
+  void finish(long nowMillis, JobState jobs) {
+    if (jobs.openJobs() > 0) {
+      throw new IllegalStateException(jobs.openJobs() + " jobs have not ended at " + nowMillis);
+    }
+  }
+
+  /** Counts jobs that wait longer than the bound although a guarantee of their owner is unused. */
+  private void checkGuarantees(long nowMillis, JobState jobs, ConfigState config) {
+    Guarantees unused = Guarantees.unused(config, jobs);
+    Set<JobKey> entitled = new HashSet<>();
+    for (Job job : jobs.jobs().values()) {
+      if (job.phase() != JobPhase.QUEUED) {
+        continue;
+      }
+      Optional<Guarantees.Owned> owned = unused.find(job.key().organisation(), job.spec().shape());
+      if (owned.isPresent()) {
+        unused.use(owned.get());
+        entitled.add(job.key());
+      }
+    }
+    entitledSinceMillis.keySet().retainAll(entitled);
+    for (JobKey key : entitled) {
+      long since = entitledSinceMillis.computeIfAbsent(key, job -> nowMillis);
+      if (nowMillis - since > RECLAIM_BOUND_MILLIS) {
+        guaranteeViolations++;
+        entitledSinceMillis.put(key, Long.MAX_VALUE / 2);
+      }
+    }
+  }
+
+  /**
+   * Returns the share of free accelerators that cannot serve the guaranteed and waiting shapes: for
+   * each distinct shape, what is left over when free room is filled with that shape alone, weighted
+   * by the shape's accelerators.
+   */
+  private static double fragmentation(JobState jobs, ConfigState config, Directory directory) {
+    Room free = Room.allFree(directory.workers());
+    jobs.allocations().values().forEach(held -> free.take(held.acceleratorIds()));
+    int all = free.free();
+    if (all == 0) {
+      return 0;
+    }
+    double weighted = 0;
+    double weights = 0;
+    for (Shape shape : shapes(jobs, config)) {
+      Room left = free.copy();
+      Optional<List<Member>> members = left.find(shape);
+      while (members.isPresent()) {
+        left.takeMembers(members.get());
+        members = left.find(shape);
+      }
+      weighted += shape.accelerators() * (double) left.free() / all;
+      weights += shape.accelerators();
+    }
+    return weights == 0 ? 0 : weighted / weights;
+  }
+
+  private static Set<Shape> shapes(JobState jobs, ConfigState config) {
+    Set<Shape> shapes = new HashSet<>();
+    config.organisations().values().stream()
+        .flatMap(declared -> declared.organisation().guarantees().stream())
+        .forEach(guaranteed -> shapes.add(guaranteed.shape()));
+    jobs.jobs().values().stream()
+        .filter(job -> job.phase() == JobPhase.QUEUED)
+        .forEach(job -> shapes.add(job.spec().shape()));
+    return shapes;
+  }
+
+  /** Returns the figures by name, in the order in which they are shown. */
+  Map<String, Double> values() {
+    Map<String, Double> values = new LinkedHashMap<>();
+    put(values, "completion.all", one -> true, Done::completionMillis);
+    put(values, "completion.interactive", is(JobClass.INTERACTIVE), Done::completionMillis);
+    put(values, "completion.urgent", is(JobClass.URGENT), Done::completionMillis);
+    put(values, "completion.batch", is(JobClass.BATCH), Done::completionMillis);
+    put(values, "completion.half_rack", ReplayFigures::isLarge, Done::completionMillis);
+    put(values, "wait.interactive", is(JobClass.INTERACTIVE), Done::waitMillis);
+    put(values, "wait.urgent", is(JobClass.URGENT), Done::waitMillis);
+    values.put("wait.longest_s", seconds(max(Done::waitMillis)));
+    values.put("lower_bound.completion_mean_s", seconds(lowerBoundMillis()));
+    values.put("slowdown.mean", slowdown());
+    values.put("fragmentation.mean", fragmentationMillis / Math.max(1, observedMillis));
+    values.put("use.mean", usedAcceleratorMillis / Math.max(1, observedMillis) / totalAccelerators);
+    values.put("preemptions", (double) preemptions);
+    values.put("lost_accelerator_hours", lostAcceleratorMillis / 3_600_000);
+    values.put("guarantee_violations", (double) guaranteeViolations);
+    values.put("pass.mean_ms", decideNanos / 1e6 / Math.max(1, passes));
+    values.put("pass.max_ms", decideMaxNanos / 1e6);
+    return values;
+  }
+
+  /** A time of a job. */
+  private interface Time {
+    long of(Done one);
+  }
+
+  private static Predicate<Done> is(JobClass jobClass) {
+    return one -> one.job().jobClass() == jobClass;
+  }
+
+  private static boolean isLarge(Done one) {
+    return one.job().accelerators() >= HALF_RACK;
+  }
+
+  private void put(Map<String, Double> values, String name, Predicate<Done> which, Time time) {
+    long[] sorted = done.stream().filter(which).mapToLong(time::of).sorted().toArray();
+    if (sorted.length == 0) {
+      return;
+    }
+    double sum = 0;
+    for (long value : sorted) {
+      sum += value;
+    }
+    values.put(name + ".mean_s", seconds(sum / sorted.length));
+    values.put(name + ".p50_s", seconds(sorted[sorted.length / 2]));
+    values.put(name + ".p99_s", seconds(sorted[(int) ((sorted.length - 1) * 0.99)]));
+  }
+
+  private long max(Time time) {
+    return done.stream().mapToLong(time::of).max().orElse(0);
+  }
+
+  /** Mean completion time if every job were started at once: no schedule can be better. */
+  private double lowerBoundMillis() {
+    return done.stream().mapToLong(one -> one.job().trueRunMillis()).average().orElse(0);
+  }
+
+  private double slowdown() {
+    return done.stream()
+        .mapToDouble(one -> (double) one.completionMillis() / one.job().trueRunMillis())
+        .average()
+        .orElse(0);
+  }
+
+  private static double seconds(Number millis) {
+    return millis.doubleValue() / 1_000;
+  }
+}
--- a/org.peridotroute/src/org/peridotroute/fold/Job.java
+++ b/org.peridotroute/src/org/peridotroute/fold/Job.java
@@ -20,6 +20,7 @@
  * @param attempts placements so far
  * @param starts starts so far; never over 1 for a non-idempotent job
  * @param failures attempts that ended because a task failed
+ * @param losses attempts that ended because a member or its lease was lost
  * @param token fencing token of the present attempt, 0 where there is none
  * @param cancelRequested whether the caller wants it stopped
  * @param reclaimRequested whether the owner of the room wants the present attempt stopped
@@ -38,6 +39,7 @@
     int attempts,
     int starts,
     int failures,
+    int losses,
     long token,
     boolean cancelRequested,
     boolean reclaimRequested,
@@ -65,6 +67,7 @@
         0,
         0,
         0,
+        0,
         false,
         false,
         List.of(),
@@ -101,6 +104,7 @@
     private int attempts;
     private int starts;
     private int failures;
+    private int losses;
     private long token;
     private boolean cancelRequested;
     private boolean reclaimRequested;
@@ -116,6 +120,7 @@
       attempts = job.attempts;
       starts = job.starts;
       failures = job.failures;
+      losses = job.losses;
       token = job.token;
       cancelRequested = job.cancelRequested;
       reclaimRequested = job.reclaimRequested;
@@ -146,6 +151,11 @@
       return this;
     }
 
+    Change lost() {
+      losses++;
+      return this;
+    }
+
     Change failed() {
       failures++;
       return this;
@@ -199,6 +209,7 @@
           attempts,
           starts,
           failures,
+          losses,
           token,
           cancelRequested,
           reclaimRequested,
--- a/org.peridotroute/src/org/peridotroute/fold/JobFold.java
+++ b/org.peridotroute/src/org/peridotroute/fold/JobFold.java
@@ -20,8 +20,8 @@
  * is never started twice, and a job that was told as not run has no start. Stateless.
  */
 public final class JobFold {
-  /** Attempts of an idempotent job that may be started before it is given up. */
-  public static final int MAX_STARTS = 8;
+  /** Attempts of an idempotent job that may be lost before its outcome counts as unknown. */
+  public static final int MAX_LOSSES = 8;
 
   /** Failures of an idempotent job's tasks before the job counts as failed. */
   public static final int MAX_FAILURES = 3;
@@ -247,6 +247,9 @@
     if (record.end() == AttemptEnd.FAILED) {
       change.failed();
     }
+    if (record.end() == AttemptEnd.LOST) {
+      change.lost();
+    }
     Outcome outcome = outcome(job, record.end());
     if (outcome == null) {
       return accepted(state.withReleasing(record.token()).withJob(change.queued().done()));
@@ -256,13 +259,14 @@
 
   /** Returns how the job ends with this end of an attempt, or null if it is queued again. */
   private static Outcome outcome(Job job, AttemptEnd end) {
-    boolean again = job.spec().idempotent() && !job.cancelRequested() && job.starts() < MAX_STARTS;
+    boolean again = job.spec().idempotent() && !job.cancelRequested();
     return switch (end) {
       case SUCCEEDED -> Outcome.SUCCEEDED;
       case ABANDONED -> null;
       case CANCELLED -> Outcome.CANCELLED;
       case FAILED -> again && job.failures() + 1 < MAX_FAILURES ? null : Outcome.FAILED;
-      case LOST, PREEMPTED -> again ? null : Outcome.UNKNOWN;
+      case LOST -> again && job.losses() + 1 < MAX_LOSSES ? null : Outcome.UNKNOWN;
+      case PREEMPTED -> again ? null : Outcome.UNKNOWN;
     };
   }
 
--- a/org.peridotroute/src/org/peridotroute/policy/GuaranteedBestFit.java
+++ b/org.peridotroute/src/org/peridotroute/policy/GuaranteedBestFit.java
@@ -5,13 +5,14 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.peridotroute.fold.Allocation;
 import org.peridotroute.fold.Job;
 import org.peridotroute.fold.JobPhase;
+import org.peridotroute.lib.AcceleratorId;
 import org.peridotroute.lib.Member;
-import org.peridotroute.lib.OrganisationId;
 import org.peridotroute.lib.Shape;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.lib.WorkerInfo;
@@ -24,9 +25,13 @@
  *
  * <p>Non-idempotent jobs run only inside guarantees: a borrower must be stoppable at any time, and
  * what was stopped must be able to run again.
+ *
+ * <p>One pass costs a look at each group of workers for each shape that does not fit, and for each
+ * job that does: a backlog of many jobs of few shapes costs little more than one job of each.
  */
 public final class GuaranteedBestFit implements PlacementPolicy {
-  private static final int MAX_CANDIDATES = 4;
+  private static final int MAX_REPACKS = 16;
+  private static final int MAX_HELD_GROUPS = 4;
 
   private final long holdRackAfterMillis;
 
@@ -41,7 +46,7 @@
 
   @Override
   public List<Decision> decide(ClusterView view) {
-    return new Pass(view).run();
+    return view.directory().workers().isEmpty() ? List.of() : new Pass(view).run();
   }
 
   /** One pass over the waiting jobs. */
@@ -51,16 +56,23 @@
     private final Room free;
     private final Room reclaimable;
     private final Guarantees guarantees;
+    private final Set<Shape> impossible = new HashSet<>();
+    private final Set<Shape> possible = new HashSet<>();
+    private final Set<Shape> tooLarge = new HashSet<>();
     private final Set<Long> reclaimed = new HashSet<>();
     private final List<Decision> decisions = new ArrayList<>();
+    private Packing packing;
+    private int repacks;
+    private int heldGroups;
 
     Pass(ClusterView view) {
       this.view = view;
-      List<WorkerInfo> staying =
-          view.directory().workers().stream().filter(worker -> !worker.leaving()).toList();
       total = Room.allFree(view.directory().workers());
-      free = Room.allFree(staying);
-      reclaimable = Room.allFree(staying);
+      free = Room.allFree(view.directory().workers());
+      view.directory().workers().stream()
+          .filter(WorkerInfo::leaving)
+          .forEach(worker -> free.take(all(worker)));
+      reclaimable = free.copy();
       for (Allocation held : view.jobs().allocations().values()) {
         free.take(held.acceleratorIds());
         if (!held.borrowed() && !held.releasing()) {
@@ -68,6 +80,7 @@
         }
       }
       guarantees = Guarantees.unused(view.config(), view.jobs());
+      packing = guarantees.pack(reclaimable, free);
     }
 
     /**
@@ -75,9 +88,6 @@
      * borrowed again.
      */
     List<Decision> run() {
-      if (view.directory().workers().isEmpty()) {
-        return List.of();
-      }
       List<Job> waiting =
           view.jobs().jobs().values().stream()
               .filter(job -> job.phase() == JobPhase.QUEUED)
@@ -91,30 +101,33 @@
       return decisions;
     }
 
+    private static List<AcceleratorId> all(WorkerInfo worker) {
+      List<Integer> indices = new ArrayList<>();
+      for (int i = 0; i < worker.accelerators(); i++) {
+        indices.add(i);
+      }
+      return new Member(worker.id(), indices).acceleratorIds();
+    }
+
     private boolean refuseIfImpossible(Job job) {
       Shape shape = job.spec().shape();
-      if (total.find(shape).isPresent()) {
+      if (possible.contains(shape)) {
+        return false;
+      }
+      if (!impossible.contains(shape) && total.find(shape).isPresent()) {
+        possible.add(shape);
         return false;
       }
+      impossible.add(shape);
       if (job.starts() == 0) {
         decisions.add(new Decision.Refuse(job.key(), neverFits(shape)));
       }
       return true;
     }
 
-    private void serveBorrowing(Job job) {
-      if (!borrow(job) && age(job) > holdRackAfterMillis) {
-        holdRoom(job.spec().shape());
-      }
-    }
-
-    private long age(Job job) {
-      return view.wallMillis() - job.submittedAtMillis();
-    }
-
     private String neverFits(Shape shape) {
       return "no "
-          + shape.adjacency().name().toLowerCase(java.util.Locale.ROOT)
+          + shape.adjacency().name().toLowerCase(Locale.ROOT)
           + " has "
           + shape.members()
           + " x "
@@ -128,77 +141,82 @@
      */
     private boolean serveInsideGuarantee(Job job) {
       Shape shape = job.spec().shape();
-      OrganisationId owner = job.key().organisation();
-      Optional<Shape> guaranteed = guarantees.find(owner, shape);
-      if (guaranteed.isEmpty()) {
+      Optional<Guarantees.Owned> found = guarantees.find(job.key().organisation(), shape);
+      if (found.isEmpty()) {
         return false;
       }
-      Guarantees.Packing packing = guarantees.pack(reclaimable);
-      Optional<List<Member>> free =
-          candidates(job).stream()
-              .filter(members -> keepsOthers(job, members, packing.unfit().size()))
-              .findFirst();
-      if (free.isPresent()) {
-        place(job, false, free.get());
-        useGuarantee(job, free.get());
+      Guarantees.Owned owned = found.get();
+      Optional<List<Member>> ownRoom = packing.find(owned, free);
+      Optional<List<Member>> inOwnRoom = ownRoom.flatMap(room -> free.only(room).find(shape));
+      if (inOwnRoom.filter(free::hasFree).isPresent() && !isAvoided(job, inOwnRoom.get())) {
+        use(owned, ownRoom.get(), inOwnRoom.get());
+        place(job, false, inOwnRoom.get());
+        return true;
+      }
+      if (placeElsewhere(job)) {
         return true;
       }
-      Optional<List<Member>> cells =
-          packing
-              .find(new Guarantees.Owned(owner, guaranteed.get()))
-              .flatMap(room -> Room.only(room, total).find(shape));
-      cells.ifPresent(members -> reclaim(job, members));
-      return cells.isPresent();
+      inOwnRoom.ifPresent(
+          members -> {
+            use(owned, ownRoom.get(), members);
+            reclaimOrPlace(job, members);
+          });
+      return inOwnRoom.isPresent();
     }
 
-    private List<List<Member>> candidates(Job job) {
-      Shape shape = job.spec().shape();
-      List<List<Member>> candidates = new ArrayList<>();
-      withoutAvoided(job).find(shape).ifPresent(candidates::add);
-      free.find(shape).ifPresent(candidates::add);
-      free.findAll(shape).stream().limit(MAX_CANDIDATES).forEach(candidates::add);
-      return candidates;
+    private boolean isAvoided(Job job, List<Member> members) {
+      return members.stream().anyMatch(member -> job.avoid().contains(member.worker()));
     }
 
-    /** Returns whether the placement leaves no more guaranteed shapes unfit than there are now. */
-    private boolean keepsOthers(Job job, List<Member> members, int unfitNow) {
-      Room after = reclaimable.copy();
-      members.forEach(member -> after.take(member.acceleratorIds()));
-      Guarantees rest = guarantees.copy();
-      rest.use(job.key().organisation(), job.spec().shape());
-      return rest.pack(after).unfit().size() <= unfitNow;
+    private void use(Guarantees.Owned owned, List<Member> room, List<Member> members) {
+      packing.use(owned, room);
+      guarantees.use(owned);
+      reclaimable.takeMembers(members);
     }
 
-    private void useGuarantee(Job job, List<Member> members) {
-      guarantees.use(job.key().organisation(), job.spec().shape());
-      members.forEach(member -> reclaimable.take(member.acceleratorIds()));
-    }
-
-    private boolean borrow(Job job) {
-      Optional<List<Member>> members = withoutAvoided(job).find(job.spec().shape());
+    /** Places a job into free room if all other guaranteed shapes fit as well as before. */
+    private boolean placeElsewhere(Job job) {
+      Shape shape = job.spec().shape();
+      if (tooLarge.contains(shape) || repacks >= MAX_REPACKS) {
+        return false;
+      }
+      Optional<List<Member>> members = findFree(job);
       if (members.isEmpty()) {
-        members = free.find(job.spec().shape());
+        return false;
       }
-      members.ifPresent(found -> place(job, true, found));
-      return members.isPresent();
-    }
-
-    private Room withoutAvoided(Job job) {
-      Room room = free.copy();
-      job.avoid().forEach(room::takeWorker);
-      return room;
+      repacks++;
+      Room after = reclaimable.copy();
+      after.takeMembers(members.get());
+      Guarantees rest = guarantees.copy();
+      rest.use(guarantees.find(job.key().organisation(), shape).orElseThrow());
+      Room freeAfter = free.copy();
+      freeAfter.takeMembers(members.get());
+      Packing repacked = rest.pack(after, freeAfter);
+      if (repacked.unfit().size() > packing.unfit().size()) {
+        return false;
+      }
+      packing = repacked;
+      guarantees.use(guarantees.find(job.key().organisation(), shape).orElseThrow());
+      reclaimable.takeMembers(members.get());
+      place(job, false, members.get());
+      return true;
     }
 
-    private void place(Job job, boolean borrowed, List<Member> members) {
-      decisions.add(new Decision.Place(job.key(), job.attempts() + 1, borrowed, members));
-      members.forEach(member -> free.take(member.acceleratorIds()));
+    /** Finds free room, away from workers on which the job has failed if that can be had. */
+    private Optional<List<Member>> findFree(Job job) {
+      Shape shape = job.spec().shape();
+      Set<WorkerId> avoid = new HashSet<>(job.avoid());
+      Optional<List<Member>> members =
+          avoid.isEmpty() ? Optional.empty() : free.find(shape, avoid, free);
+      return members.isPresent() ? members : free.find(shape);
     }
 
-    /**
-     * Stops the borrowers that hold the room, and keeps later jobs of this pass out of it. The room
-     * is one in which all other unused guaranteed shapes still fit.
-     */
-    private void reclaim(Job job, List<Member> members) {
+    /** Stops the borrowers that hold the room; places the job if nobody does. */
+    private void reclaimOrPlace(Job job, List<Member> members) {
+      if (free.hasFree(members)) {
+        place(job, false, members);
+        return;
+      }
       for (long token : holders(members)) {
         Allocation held = view.jobs().allocations().get(token);
         Job borrower = view.jobs().jobs().get(held.job());
@@ -207,8 +225,7 @@
         }
         decisions.add(new Decision.Reclaim(held.job(), token, job.key().organisation()));
       }
-      useGuarantee(job, members);
-      members.forEach(member -> free.take(member.acceleratorIds()));
+      free.takeMembers(members);
     }
 
     private Set<Long> holders(List<Member> members) {
@@ -221,24 +238,24 @@
       return tokens;
     }
 
-    /** Keeps later jobs of this pass out of the rack that is nearest to holding the shape. */
-    private void holdRoom(Shape shape) {
-      List<List<Member>> candidates = total.findAll(shape);
-      candidates.stream()
-          .max(Comparator.comparingInt(this::freeNear))
-          .ifPresent(members -> near(members).forEach(free::takeWorker));
-    }
-
-    private int freeNear(List<Member> members) {
-      Room rest = free.copy();
-      near(members).forEach(rest::takeWorker);
-      return free.free() - rest.free();
+    private void serveBorrowing(Job job) {
+      Shape shape = job.spec().shape();
+      Optional<List<Member>> members = tooLarge.contains(shape) ? Optional.empty() : findFree(job);
+      if (members.isPresent()) {
+        place(job, true, members.get());
+        return;
+      }
+      tooLarge.add(shape);
+      boolean old = view.wallMillis() - job.submittedAtMillis() > holdRackAfterMillis;
+      if (old && heldGroups < MAX_HELD_GROUPS) {
+        heldGroups++;
+        free.findNearest(shape, total).ifPresent(free::takeRacks);
+      }
     }
 
-    private Set<WorkerId> near(List<Member> members) {
-      Set<WorkerId> workers = new LinkedHashSet<>();
-      members.forEach(member -> workers.addAll(total.rackOf(member.worker())));
-      return workers;
+    private void place(Job job, boolean borrowed, List<Member> members) {
+      decisions.add(new Decision.Place(job.key(), job.attempts() + 1, borrowed, members));
+      free.takeMembers(members);
     }
   }
 }
--- a/org.peridotroute/src/org/peridotroute/policy/Guarantees.java
+++ b/org.peridotroute/src/org/peridotroute/policy/Guarantees.java
@@ -2,10 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.peridotroute.fold.ConfigState;
 import org.peridotroute.fold.Job;
@@ -31,24 +32,6 @@
 
   private Guarantees() {}
 
-  /**
-   * Where unused shapes would go if all of them were wanted at once.
-   *
-   * @param cells room by owner and shape, one entry for each shape that fits
-   * @param unfit shapes for which there is no room
-   */
-  public record Packing(Map<Owned, List<List<Member>>> cells, List<Owned> unfit) {
-    /**
-     * Returns the room of one unused shape.
-     *
-     * @param owned the owner and the shape
-     * @return the room, empty if the shape does not fit
-     */
-    public Optional<List<Member>> find(Owned owned) {
-      return cells.getOrDefault(owned, List.of()).stream().findFirst();
-    }
-  }
-
   /**
    * A guaranteed shape with its owner.
    *
@@ -73,7 +56,11 @@
         .filter(held -> !held.borrowed() && !held.releasing())
         .map(held -> jobs.jobs().get(held.job()))
         .sorted(Comparator.comparing((Job job) -> job.spec().shape(), BY_SIZE).reversed())
-        .forEach(job -> guarantees.use(job.key().organisation(), job.spec().shape()));
+        .forEach(
+            job ->
+                guarantees
+                    .find(job.key().organisation(), job.spec().shape())
+                    .ifPresent(guarantees::use));
     return guarantees;
   }
 
@@ -102,20 +89,20 @@
    * @param shape the job's shape
    * @return the guaranteed shape, or empty if none is unused
    */
-  public Optional<Shape> find(OrganisationId organisation, Shape shape) {
+  public Optional<Owned> find(OrganisationId organisation, Shape shape) {
     return unused.getOrDefault(organisation, List.of()).stream()
         .filter(guaranteed -> holds(guaranteed, shape))
-        .findFirst();
+        .findFirst()
+        .map(guaranteed -> new Owned(organisation, guaranteed));
   }
 
   /**
-   * Marks the smallest unused guaranteed shape that holds a job's shape as used.
+   * Marks an unused guaranteed shape as used.
    *
-   * @param organisation the owner
-   * @param shape the job's shape
+   * @param owned the owner and the shape
    */
-  public void use(OrganisationId organisation, Shape shape) {
-    find(organisation, shape).ifPresent(guaranteed -> unused.get(organisation).remove(guaranteed));
+  public void use(Owned owned) {
+    unused.get(owned.owner()).remove(owned.shape());
   }
 
   /**
@@ -123,25 +110,30 @@
    * proof, and one that does not is none.
    *
    * @param room accelerators that are free or held by borrowers; not changed
+   * @param preferred accelerators to be used first where there is a choice
    * @return where each goes
    */
-  public Packing pack(Room room) {
+  public Packing pack(Room room, Room preferred) {
     Room left = room.copy();
-    Map<Owned, List<List<Member>>> cells = new HashMap<>();
-    List<Owned> unfit = new ArrayList<>();
+    Packing packing = new Packing();
     List<Owned> wanted = new ArrayList<>();
     unused.forEach((id, shapes) -> shapes.forEach(shape -> wanted.add(new Owned(id, shape))));
     wanted.sort(Comparator.comparing(Owned::shape, BY_SIZE).reversed());
+    Set<Shape> tooLarge = new HashSet<>();
     for (Owned want : wanted) {
-      Optional<List<Member>> found = left.find(want.shape());
-      if (found.isEmpty()) {
-        unfit.add(want);
-        continue;
+      Optional<List<Member>> found =
+          tooLarge.contains(want.shape())
+              ? Optional.empty()
+              : left.find(want.shape(), Set.of(), preferred);
+      if (found.isPresent()) {
+        left.takeMembers(found.get());
+        packing.add(want, found.get());
+      } else {
+        tooLarge.add(want.shape());
+        packing.addUnfit(want);
       }
-      found.get().forEach(member -> left.take(member.acceleratorIds()));
-      cells.computeIfAbsent(want, key -> new ArrayList<>()).add(found.get());
     }
-    return new Packing(cells, unfit);
+    return packing;
   }
 
   /**
--- a/org.peridotroute/src/org/peridotroute/policy/Room.java
+++ b/org.peridotroute/src/org/peridotroute/policy/Room.java
@@ -1,32 +1,76 @@
 package org.peridotroute.policy;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
-import java.util.function.ToIntFunction;
+import java.util.Set;
+import java.util.function.Function;
 import org.peridotroute.lib.AcceleratorId;
 import org.peridotroute.lib.Adjacency;
 import org.peridotroute.lib.Member;
-import org.peridotroute.lib.PlaceId;
-import org.peridotroute.lib.RackId;
 import org.peridotroute.lib.Shape;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.lib.WorkerInfo;
 
 /**
- * Free accelerators during one pass of a policy, by place, rack and worker. Mutable; owned by the
- * pass and used by one thread.
+ * Free accelerators during one pass of a policy, a bit for each, with the groups (racks, places)
+ * that a gang must fit into. Copies share what does not change. Mutable; owned by the pass and used
+ * by one thread.
  */
 public final class Room {
-  private final Map<WorkerId, WorkerRoom> workers = new TreeMap<>();
-  private final Map<RackId, List<WorkerRoom>> racks = new TreeMap<>();
-  private final Map<PlaceId, List<WorkerRoom>> places = new TreeMap<>();
+  private final Layout layout;
+  private final long[] freeBits;
 
-  private Room() {}
+  /** What does not change during a pass: the workers and their groups, by number. */
+  private static final class Layout {
+    private final List<WorkerInfo> workers;
+    private final Map<WorkerId, Integer> numbers = new HashMap<>();
+    private final Map<Adjacency, int[][]> groups = new HashMap<>();
+    private final int[] rackOfWorker;
+
+    Layout(Collection<WorkerInfo> infos) {
+      workers = infos.stream().sorted(Comparator.comparing(WorkerInfo::id)).toList();
+      for (int i = 0; i < workers.size(); i++) {
+        numbers.put(workers.get(i).id(), i);
+      }
+      groups.put(Adjacency.WORKER, group(info -> info.id().value()));
+      groups.put(Adjacency.RACK, group(info -> info.place() + "/" + info.rack()));
+      groups.put(Adjacency.PLACE, group(info -> info.place().value()));
+      rackOfWorker = new int[workers.size()];
+      int[][] racks = groups.get(Adjacency.RACK);
+      for (int rack = 0; rack < racks.length; rack++) {
+        for (int worker : racks[rack]) {
+          rackOfWorker[worker] = rack;
+        }
+      }
+    }
+
+    private int[][] group(Function<WorkerInfo, String> nameOf) {
+      Map<String, List<Integer>> byName = new LinkedHashMap<>();
+      for (int i = 0; i < workers.size(); i++) {
+        byName.computeIfAbsent(nameOf.apply(workers.get(i)), name -> new ArrayList<>()).add(i);
+      }
+      return byName.values().stream()
+          .map(numbersInGroup -> numbersInGroup.stream().mapToInt(Integer::intValue).toArray())
+          .toArray(int[][]::new);
+    }
+
+    long allBits(int worker) {
+      int count = workers.get(worker).accelerators();
+      return count == Long.SIZE ? -1L : (1L << count) - 1;
+    }
+  }
+
+  private Room(Layout layout, long[] freeBits) {
+    this.layout = layout;
+    this.freeBits = freeBits;
+  }
 
   /**
    * Makes a room in which every accelerator is free.
@@ -35,40 +79,36 @@
    * @return the room
    */
   public static Room allFree(Collection<WorkerInfo> infos) {
-    Room room = new Room();
-    for (WorkerInfo info : infos) {
-      WorkerRoom worker = new WorkerRoom(info);
-      room.workers.put(info.id(), worker);
-      room.racks.computeIfAbsent(info.rack(), rack -> new ArrayList<>()).add(worker);
-      room.places.computeIfAbsent(info.place(), place -> new ArrayList<>()).add(worker);
-    }
+    Layout layout = new Layout(infos);
+    Room room = new Room(layout, new long[layout.workers.size()]);
+    Arrays.setAll(room.freeBits, layout::allBits);
     return room;
   }
 
   /**
-   * Makes a room in which only some accelerators are free.
+   * Makes a room with the same workers in which only some accelerators are free.
    *
    * @param members the free accelerators
-   * @param like a room with the same workers
    * @return the room
    */
-  public static Room only(List<Member> members, Room like) {
-    Room room = like.copy();
-    room.workers.values().forEach(worker -> worker.freeBits = 0);
+  public Room only(List<Member> members) {
+    Room room = new Room(layout, new long[freeBits.length]);
     members.forEach(member -> room.give(member.acceleratorIds()));
     return room;
   }
 
   /** Returns a copy that can be changed without changing this one. */
   public Room copy() {
-    Room copy = allFree(workers.values().stream().map(worker -> worker.info).toList());
-    workers.forEach((id, worker) -> copy.workers.get(id).freeBits = worker.freeBits);
-    return copy;
+    return new Room(layout, freeBits.clone());
   }
 
   /** Returns the number of free accelerators. */
   public int free() {
-    return workers.values().stream().mapToInt(WorkerRoom::free).sum();
+    int free = 0;
+    for (long bits : freeBits) {
+      free += Long.bitCount(bits);
+    }
+    return free;
   }
 
   /**
@@ -78,13 +118,22 @@
    */
   public void take(Collection<AcceleratorId> ids) {
     for (AcceleratorId id : ids) {
-      WorkerRoom worker = workers.get(id.worker());
+      Integer worker = layout.numbers.get(id.worker());
       if (worker != null) {
-        worker.freeBits &= ~(1L << id.index());
+        freeBits[worker] &= ~(1L << id.index());
       }
     }
   }
 
+  /**
+   * Marks accelerators of a placement as held.
+   *
+   * @param members the placement
+   */
+  public void takeMembers(List<Member> members) {
+    members.forEach(member -> take(member.acceleratorIds()));
+  }
+
   /**
    * Marks accelerators as free. Those of workers that are not here are passed over.
    *
@@ -92,23 +141,64 @@
    */
   public void give(Collection<AcceleratorId> ids) {
     for (AcceleratorId id : ids) {
-      WorkerRoom worker = workers.get(id.worker());
-      if (worker != null && id.index() < worker.info.accelerators()) {
-        worker.freeBits |= 1L << id.index();
+      Integer worker = layout.numbers.get(id.worker());
+      if (worker != null && id.index() < layout.workers.get(worker).accelerators()) {
+        freeBits[worker] |= 1L << id.index();
+      }
+    }
+  }
+
+  /**
+   * Takes all free accelerators of the racks that a placement touches.
+   *
+   * @param members the placement
+   */
+  public void takeRacks(List<Member> members) {
+    for (Member member : members) {
+      Integer worker = layout.numbers.get(member.worker());
+      if (worker != null) {
+        int[] rack = layout.groups.get(Adjacency.RACK)[layout.rackOfWorker[worker]];
+        for (int peer : rack) {
+          freeBits[peer] = 0;
+        }
+      }
+    }
+  }
+
+  /**
+   * Returns whether all accelerators of a placement are free.
+   *
+   * @param members the placement
+   * @return whether they are
+   */
+  public boolean hasFree(List<Member> members) {
+    for (Member member : members) {
+      Integer worker = layout.numbers.get(member.worker());
+      long wanted = member.accelerators().stream().mapToLong(index -> 1L << index).sum();
+      if (worker == null || (freeBits[worker] & wanted) != wanted) {
+        return false;
       }
     }
+    return true;
   }
 
   /**
-   * Takes all free accelerators of a worker.
+   * Returns how many accelerators of a placement are free.
    *
-   * @param id the worker
+   * @param members the placement
+   * @return the number
    */
-  public void takeWorker(WorkerId id) {
-    WorkerRoom worker = workers.get(id);
-    if (worker != null) {
-      worker.freeBits = 0;
+  public int countFree(List<Member> members) {
+    int count = 0;
+    for (Member member : members) {
+      Integer worker = layout.numbers.get(member.worker());
+      for (int index : member.accelerators()) {
+        if (worker != null && (freeBits[worker] & (1L << index)) != 0) {
+          count++;
+        }
+      }
     }
+    return count;
   }
 
   /**
@@ -119,92 +209,118 @@
    * @return where each member goes, or empty if there is no room
    */
   public Optional<List<Member>> find(Shape shape) {
-    return groups(shape.adjacency()).stream()
-        .filter(group -> holds(group, shape))
-        .min(Comparator.comparingInt(Room::freeIn))
-        .map(group -> members(group, shape));
+    return find(shape, Set.of(), this);
   }
 
   /**
-   * Finds the groups of workers that could hold a shape, the ones with most free accelerators
-   * first.
+   * Finds room for a shape, as {@link #find(Shape)} does.
    *
    * @param shape the shape
-   * @return for each group a placement
+   * @param avoid workers to leave out
+   * @param preferred another room with the same workers; of two groups that are equally tight, and
+   *     of two accelerators of a worker, the one with more that is free there too is taken
+   * @return where each member goes, or empty if there is no room
    */
-  public List<List<Member>> findAll(Shape shape) {
-    return groups(shape.adjacency()).stream()
-        .filter(group -> holds(group, shape))
-        .sorted(Comparator.<List<WorkerRoom>>comparingInt(Room::freeIn).reversed())
-        .map(group -> members(group, shape))
-        .toList();
+  public Optional<List<Member>> find(Shape shape, Set<WorkerId> avoid, Room preferred) {
+    int[] best = null;
+    int bestFree = Integer.MAX_VALUE;
+    int bestPreferred = -1;
+    for (int[] group : layout.groups.get(shape.adjacency())) {
+      int free = freeIfHolds(group, shape, avoid);
+      if (free < 0 || free > bestFree) {
+        continue;
+      }
+      int preferredFree = preferred.free(group);
+      if (free < bestFree || preferredFree > bestPreferred) {
+        best = group;
+        bestFree = free;
+        bestPreferred = preferredFree;
+      }
+    }
+    return best == null ? Optional.empty() : Optional.of(place(best, shape, avoid, preferred));
   }
 
   /**
-   * Returns the workers in the same rack as the one named.
+   * Finds room for a shape in the first group that holds it, in the order of names. Takes nothing.
    *
-   * @param id a worker
-   * @return the workers of its rack, empty if it is not here
+   * @param shape the shape
+   * @return where each member goes, or empty if there is no room
    */
-  public List<WorkerId> rackOf(WorkerId id) {
-    WorkerRoom worker = workers.get(id);
-    if (worker == null) {
-      return List.of();
+  public Optional<List<Member>> findFirst(Shape shape) {
+    for (int[] group : layout.groups.get(shape.adjacency())) {
+      if (freeIfHolds(group, shape, Set.of()) >= 0) {
+        return Optional.of(place(group, shape, Set.of(), this));
+      }
     }
-    return racks.get(worker.info.rack()).stream().map(peer -> peer.info.id()).toList();
+    return Optional.empty();
   }
 
-  private Collection<List<WorkerRoom>> groups(Adjacency adjacency) {
-    return switch (adjacency) {
-      case WORKER -> workers.values().stream().map(worker -> List.of(worker)).toList();
-      case RACK -> racks.values();
-      case PLACE -> places.values();
-    };
+  /**
+   * Finds the group that is nearest to holding a shape, whether or not it does now.
+   *
+   * @param shape the shape
+   * @param whole a room with the same workers in which the group must hold the shape
+   * @return a placement in that group as if it were whole, or empty if no group could ever hold it
+   */
+  public Optional<List<Member>> findNearest(Shape shape, Room whole) {
+    int[] best = null;
+    int bestFree = -1;
+    for (int[] group : layout.groups.get(shape.adjacency())) {
+      int free = free(group);
+      if (free > bestFree && whole.freeIfHolds(group, shape, Set.of()) >= 0) {
+        best = group;
+        bestFree = free;
+      }
+    }
+    return best == null ? Optional.empty() : Optional.of(whole.place(best, shape, Set.of(), this));
   }
 
-  private static int freeIn(List<WorkerRoom> group) {
-    return sum(group, WorkerRoom::free);
+  private int free(int[] group) {
+    int free = 0;
+    for (int worker : group) {
+      free += Long.bitCount(freeBits[worker]);
+    }
+    return free;
   }
 
-  private static boolean holds(List<WorkerRoom> group, Shape shape) {
-    return sum(group, worker -> worker.free() / shape.acceleratorsPerMember()) >= shape.members();
+  /** Returns the free accelerators of a group that holds the shape, or -1 if it does not. */
+  private int freeIfHolds(int[] group, Shape shape, Set<WorkerId> avoid) {
+    int free = 0;
+    int members = 0;
+    for (int worker : group) {
+      int here = usable(worker, avoid);
+      free += here;
+      members += here / shape.acceleratorsPerMember();
+    }
+    return members >= shape.members() ? free : -1;
   }
 
-  private static int sum(List<WorkerRoom> group, ToIntFunction<WorkerRoom> figure) {
-    return group.stream().mapToInt(figure).sum();
+  private int usable(int worker, Set<WorkerId> avoid) {
+    boolean avoided = !avoid.isEmpty() && avoid.contains(layout.workers.get(worker).id());
+    return avoided ? 0 : Long.bitCount(freeBits[worker]);
   }
 
-  private static List<Member> members(List<WorkerRoom> group, Shape shape) {
+  private List<Member> place(int[] group, Shape shape, Set<WorkerId> avoid, Room preferred) {
+    List<Integer> fullestFirst = new ArrayList<>(group.length);
+    for (int worker : group) {
+      fullestFirst.add(worker);
+    }
+    fullestFirst.sort(Comparator.comparingInt(worker -> usable(worker, avoid)));
     List<Member> members = new ArrayList<>(shape.members());
-    List<WorkerRoom> fullestFirst =
-        group.stream().sorted(Comparator.comparingInt(WorkerRoom::free)).toList();
-    for (WorkerRoom worker : fullestFirst) {
-      int here = worker.free() / shape.acceleratorsPerMember();
-      long bits = worker.freeBits;
+    for (int worker : fullestFirst) {
+      int here = usable(worker, avoid) / shape.acceleratorsPerMember();
+      long bits = freeBits[worker];
       for (int i = 0; i < here && members.size() < shape.members(); i++) {
         List<Integer> indices = new ArrayList<>(shape.acceleratorsPerMember());
         for (int k = 0; k < shape.acceleratorsPerMember(); k++) {
-          indices.add(Long.numberOfTrailingZeros(bits));
-          bits &= bits - 1;
+          long liked = bits & preferred.freeBits[worker];
+          int index = Long.numberOfTrailingZeros(liked != 0 ? liked : bits);
+          indices.add(index);
+          bits &= ~(1L << index);
         }
-        members.add(new Member(worker.info.id(), indices));
+        members.add(new Member(layout.workers.get(worker).id(), indices));
       }
     }
     return members;
   }
-
-  /** Free accelerators of one worker, a bit for each. */
-  private static final class WorkerRoom {
-    private final WorkerInfo info;
-    private long freeBits;
-
-    WorkerRoom(WorkerInfo info) {
-      this.info = info;
-      freeBits = info.accelerators() == Long.SIZE ? -1L : (1L << info.accelerators()) - 1;
-    }
-
-    int free() {
-      return Long.bitCount(freeBits);
-    }
-  }
 }
