Reclaim where least work is lost, and hold what is being cleared

Change: reclaim the group in which the least work since the last checkpoint is lost; room that is being cleared stays the first choice and is held from borrowers; place beside the packing where that costs nobody room; a job much smaller than the guaranteed shape only borrows; one rack in eight is held for old gangs, and what is movable there is moved.

--- a/org.peridotroute/src/org/peridotroute/fold/Job.java
+++ b/org.peridotroute/src/org/peridotroute/fold/Job.java
@@ -17,6 +17,7 @@
  * @param createdRevision offset of the record that submitted it
  * @param revision offset of the record that changed it last
  * @param submittedAtMillis wall clock of the VM that accepted it
+ * @param startedAtMillis wall clock of the VM that started the present or last attempt, 0 before
  * @param attempts placements so far
  * @param starts starts so far; never over 1 for a non-idempotent job
  * @param failures attempts that ended because a task failed
@@ -36,6 +37,7 @@
     long createdRevision,
     long revision,
     long submittedAtMillis,
+    long startedAtMillis,
     int attempts,
     int starts,
     int failures,
@@ -68,6 +70,7 @@
         0,
         0,
         0,
+        0,
         false,
         false,
         List.of(),
@@ -101,6 +104,7 @@
     private final Job job;
     private final long revision;
     private JobPhase phase;
+    private long startedAtMillis;
     private int attempts;
     private int starts;
     private int failures;
@@ -117,6 +121,7 @@
       this.job = job;
       this.revision = revision;
       phase = job.phase;
+      startedAtMillis = job.startedAtMillis;
       attempts = job.attempts;
       starts = job.starts;
       failures = job.failures;
@@ -138,8 +143,9 @@
       return this;
     }
 
-    Change started() {
+    Change started(long timeMillis) {
       phase = JobPhase.RUNNING;
+      startedAtMillis = timeMillis;
       starts++;
       return this;
     }
@@ -206,6 +212,7 @@
           job.createdRevision,
           revision,
           job.submittedAtMillis,
+          startedAtMillis,
           attempts,
           starts,
           failures,
--- a/org.peridotroute/src/org/peridotroute/fold/JobFold.java
+++ b/org.peridotroute/src/org/peridotroute/fold/JobFold.java
@@ -77,7 +77,7 @@
       return refuse(state, refused);
     }
     if (record instanceof LogRecord.Started started) {
-      return start(state, started);
+      return start(state, started, envelope.timeMillis());
     }
     if (record instanceof LogRecord.AttemptEnded ended) {
       return end(state, ended);
@@ -210,7 +210,7 @@
     return finish(state, job, change);
   }
 
-  private static Folded<JobState> start(JobState state, LogRecord.Started record) {
+  private static Folded<JobState> start(JobState state, LogRecord.Started record, long timeMillis) {
     Job job = state.jobs().get(record.job());
     if (job == null || !job.holds(record.token())) {
       return new Folded<>(state, Verdict.STALE);
@@ -226,7 +226,7 @@
       return new Folded<>(state, Verdict.BAD_PLACEMENT);
     }
     JobState next = state.withChanged(held.withLeases(record.leases()));
-    return accepted(next.withJob(job.change(state.offset()).started().done()));
+    return accepted(next.withJob(job.change(state.offset()).started(timeMillis).done()));
   }
 
   private static Folded<JobState> end(JobState state, LogRecord.AttemptEnded record) {
--- a/org.peridotroute/src/org/peridotroute/policy/GuaranteedBestFit.java
+++ b/org.peridotroute/src/org/peridotroute/policy/GuaranteedBestFit.java
@@ -31,7 +31,8 @@
  */
 public final class GuaranteedBestFit implements PlacementPolicy {
   private static final int MAX_REPACKS = 16;
-  private static final int MAX_HELD_GROUPS = 4;
+  private static final int RACKS_PER_HELD_RACK = 8;
+  private static final int MOVABLE_SHARE = 2;
 
   private final long holdRackAfterMillis;
 
@@ -54,6 +55,7 @@
     private final ClusterView view;
     private final Room total;
     private final Room free;
+    private final Room clearing;
     private final Room reclaimable;
     private final Guarantees guarantees;
     private final Set<Shape> impossible = new HashSet<>();
@@ -62,8 +64,9 @@
     private final Set<Long> reclaimed = new HashSet<>();
     private final List<Decision> decisions = new ArrayList<>();
     private Packing packing;
+    private Room unpacked;
     private int repacks;
-    private int heldGroups;
+    private int racksLeftToHold;
 
     Pass(ClusterView view) {
       this.view = view;
@@ -75,12 +78,16 @@
       reclaimable = free.copy();
       for (Allocation held : view.jobs().allocations().values()) {
         free.take(held.acceleratorIds());
+        noteLoss(held);
         if (!held.borrowed() && !held.releasing()) {
           reclaimable.take(held.acceleratorIds());
         }
       }
+      clearing = clearing();
       guarantees = Guarantees.unused(view.config(), view.jobs());
-      packing = guarantees.pack(reclaimable, free);
+      packing = guarantees.pack(reclaimable, clearing);
+      unpacked = packing.unpacked(free);
+      racksLeftToHold = Math.max(1, total.racks() / RACKS_PER_HELD_RACK);
     }
 
     /**
@@ -101,6 +108,40 @@
       return decisions;
     }
 
+    /**
+     * Returns what is free or about to be: room that is being cleared stays the first choice of the
+     * shape that it is cleared for.
+     */
+    private Room clearing() {
+      Room room = free.copy();
+      for (Allocation held : view.jobs().allocations().values()) {
+        if (held.releasing() || view.jobs().jobs().get(held.job()).reclaimRequested()) {
+          room.give(held.acceleratorIds());
+        }
+      }
+      return room;
+    }
+
+    /**
+     * Notes the work that stopping a borrower would lose; one that keeps its progress loses none.
+     */
+    private void noteLoss(Allocation held) {
+      Job job = view.jobs().jobs().get(held.job());
+      boolean losesNothing =
+          !held.borrowed()
+              || held.releasing()
+              || job.reclaimRequested()
+              || job.phase() != JobPhase.RUNNING
+              || job.spec().checkpointable();
+      if (losesNothing) {
+        return;
+      }
+      long ranMillis = Math.max(0, view.wallMillis() - job.startedAtMillis());
+      held.members()
+          .forEach(
+              member -> free.addLoss(member.worker(), ranMillis * member.accelerators().size()));
+    }
+
     private static List<AcceleratorId> all(WorkerInfo worker) {
       List<Integer> indices = new ArrayList<>();
       for (int i = 0; i < worker.accelerators(); i++) {
@@ -147,13 +188,16 @@
       }
       Guarantees.Owned owned = found.get();
       Optional<List<Member>> ownRoom = packing.find(owned, free);
+      if (placeBesides(job, owned, ownRoom)) {
+        return true;
+      }
       Optional<List<Member>> inOwnRoom = ownRoom.flatMap(room -> free.only(room).find(shape));
       if (inOwnRoom.filter(free::hasFree).isPresent() && !isAvoided(job, inOwnRoom.get())) {
         use(owned, ownRoom.get(), inOwnRoom.get());
         place(job, false, inOwnRoom.get());
         return true;
       }
-      if (placeElsewhere(job)) {
+      if (placeElsewhere(job, owned)) {
         return true;
       }
       inOwnRoom.ifPresent(
@@ -164,6 +208,26 @@
       return inOwnRoom.isPresent();
     }
 
+    /**
+     * Places a job where no unused guaranteed shape would go, which costs no other shape its room.
+     * A job that needs much less than the guaranteed shape only borrows there, so that the
+     * guarantee stays whole.
+     */
+    private boolean placeBesides(Job job, Guarantees.Owned owned, Optional<List<Member>> ownRoom) {
+      Shape shape = job.spec().shape();
+      boolean small = shape.accelerators() * 2 <= owned.shape().accelerators();
+      boolean borrow = small && job.spec().idempotent();
+      Optional<List<Member>> members = unpacked.find(shape);
+      if (members.isEmpty() || isAvoided(job, members.get()) || (ownRoom.isEmpty() && !borrow)) {
+        return false;
+      }
+      if (!borrow) {
+        use(owned, ownRoom.get(), members.get());
+      }
+      place(job, borrow, members.get());
+      return true;
+    }
+
     private boolean isAvoided(Job job, List<Member> members) {
       return members.stream().anyMatch(member -> job.avoid().contains(member.worker()));
     }
@@ -172,12 +236,12 @@
       packing.use(owned, room);
       guarantees.use(owned);
       reclaimable.takeMembers(members);
+      unpacked = packing.unpacked(free);
     }
 
     /** Places a job into free room if all other guaranteed shapes fit as well as before. */
-    private boolean placeElsewhere(Job job) {
-      Shape shape = job.spec().shape();
-      if (tooLarge.contains(shape) || repacks >= MAX_REPACKS) {
+    private boolean placeElsewhere(Job job, Guarantees.Owned owned) {
+      if (tooLarge.contains(job.spec().shape()) || repacks >= MAX_REPACKS) {
         return false;
       }
       Optional<List<Member>> members = findFree(job);
@@ -188,17 +252,18 @@
       Room after = reclaimable.copy();
       after.takeMembers(members.get());
       Guarantees rest = guarantees.copy();
-      rest.use(guarantees.find(job.key().organisation(), shape).orElseThrow());
-      Room freeAfter = free.copy();
-      freeAfter.takeMembers(members.get());
-      Packing repacked = rest.pack(after, freeAfter);
+      rest.use(owned);
+      Room clearAfter = clearing.copy();
+      clearAfter.takeMembers(members.get());
+      Packing repacked = rest.pack(after, clearAfter);
       if (repacked.unfit().size() > packing.unfit().size()) {
         return false;
       }
       packing = repacked;
-      guarantees.use(guarantees.find(job.key().organisation(), shape).orElseThrow());
+      guarantees.use(owned);
       reclaimable.takeMembers(members.get());
       place(job, false, members.get());
+      unpacked = packing.unpacked(free);
       return true;
     }
 
@@ -211,21 +276,24 @@
       return members.isPresent() ? members : free.find(shape);
     }
 
+    /**
+     * Finds free room to borrow, if possible where no unused guaranteed shape would go, so that it
+     * is not soon reclaimed.
+     */
+    private Optional<List<Member>> findToBorrow(Job job) {
+      Optional<List<Member>> besides =
+          unpacked.find(job.spec().shape()).filter(members -> !isAvoided(job, members));
+      return besides.isPresent() ? besides : findFree(job);
+    }
+
     /** Stops the borrowers that hold the room; places the job if nobody does. */
     private void reclaimOrPlace(Job job, List<Member> members) {
       if (free.hasFree(members)) {
         place(job, false, members);
         return;
       }
-      for (long token : holders(members)) {
-        Allocation held = view.jobs().allocations().get(token);
-        Job borrower = view.jobs().jobs().get(held.job());
-        if (held.releasing() || borrower.reclaimRequested() || !reclaimed.add(token)) {
-          continue;
-        }
-        decisions.add(new Decision.Reclaim(held.job(), token, job.key().organisation()));
-      }
-      free.takeMembers(members);
+      holders(members).forEach(token -> stop(token, job));
+      hold(members);
     }
 
     private Set<Long> holders(List<Member> members) {
@@ -240,22 +308,67 @@
 
     private void serveBorrowing(Job job) {
       Shape shape = job.spec().shape();
-      Optional<List<Member>> members = tooLarge.contains(shape) ? Optional.empty() : findFree(job);
+      Optional<List<Member>> members =
+          tooLarge.contains(shape) ? Optional.empty() : findToBorrow(job);
       if (members.isPresent()) {
         place(job, true, members.get());
         return;
       }
       tooLarge.add(shape);
       boolean old = view.wallMillis() - job.submittedAtMillis() > holdRackAfterMillis;
-      if (old && heldGroups < MAX_HELD_GROUPS) {
-        heldGroups++;
-        free.findNearest(shape, total).ifPresent(free::takeRacks);
+      if (old && racksLeftToHold > 0) {
+        racksLeftToHold--;
+        free.findNearest(shape, total).ifPresent(room -> holdRacks(job, room));
       }
     }
 
+    /**
+     * Keeps later jobs out of the racks that are nearest to holding a gang, and moves what little
+     * is still there away if it can be moved without loss.
+     */
+    private void holdRacks(Job job, List<Member> room) {
+      List<Allocation> holding =
+          holders(room).stream().map(view.jobs().allocations()::get).toList();
+      boolean movable = holding.stream().allMatch(this::isMovable);
+      int toMove =
+          holding.stream()
+              .filter(held -> !held.releasing())
+              .mapToInt(held -> held.acceleratorIds().size())
+              .sum();
+      if (movable && toMove * MOVABLE_SHARE <= job.spec().shape().accelerators()) {
+        holding.forEach(held -> stop(held.token(), job));
+      }
+      free.takeRacks(room);
+      unpacked.takeRacks(room);
+    }
+
+    private boolean isMovable(Allocation held) {
+      boolean checkpointable =
+          held.borrowed() && view.jobs().jobs().get(held.job()).spec().checkpointable();
+      return held.releasing() || checkpointable;
+    }
+
+    /** Asks a borrower to stop, unless it was asked before. */
+    private void stop(long token, Job forJob) {
+      Allocation held = view.jobs().allocations().get(token);
+      if (held.releasing() || !reclaimed.add(token)) {
+        return;
+      }
+      if (!view.jobs().jobs().get(held.job()).reclaimRequested()) {
+        decisions.add(new Decision.Reclaim(held.job(), token, forJob.key().organisation()));
+      }
+    }
+
+    /** Keeps later jobs of this pass out of some room. */
+    private void hold(List<Member> members) {
+      free.takeMembers(members);
+      clearing.takeMembers(members);
+      unpacked.takeMembers(members);
+    }
+
     private void place(Job job, boolean borrowed, List<Member> members) {
       decisions.add(new Decision.Place(job.key(), job.attempts() + 1, borrowed, members));
-      free.takeMembers(members);
+      hold(members);
     }
   }
 }
--- a/org.peridotroute/src/org/peridotroute/policy/Packing.java
+++ b/org.peridotroute/src/org/peridotroute/policy/Packing.java
@@ -42,6 +42,18 @@
         .max(Comparator.comparingInt(free::countFree));
   }
 
+  /**
+   * Returns what is free and not in the room of any unused shape.
+   *
+   * @param free accelerators that are held by nobody; not changed
+   * @return the rest
+   */
+  public Room unpacked(Room free) {
+    Room rest = free.copy();
+    rooms.values().forEach(ofShape -> ofShape.forEach(rest::takeMembers));
+    return rest;
+  }
+
   /**
    * Takes the room of one shape out, since its owner uses it now.
    *
--- a/org.peridotroute/src/org/peridotroute/policy/Room.java
+++ b/org.peridotroute/src/org/peridotroute/policy/Room.java
@@ -26,6 +26,7 @@
 public final class Room {
   private final Layout layout;
   private final long[] freeBits;
+  private final long[] lossMillis;
 
   /** What does not change during a pass: the workers and their groups, by number. */
   private static final class Layout {
@@ -67,9 +68,10 @@
     }
   }
 
-  private Room(Layout layout, long[] freeBits) {
+  private Room(Layout layout, long[] freeBits, long[] lossMillis) {
     this.layout = layout;
     this.freeBits = freeBits;
+    this.lossMillis = lossMillis;
   }
 
   /**
@@ -80,7 +82,7 @@
    */
   public static Room allFree(Collection<WorkerInfo> infos) {
     Layout layout = new Layout(infos);
-    Room room = new Room(layout, new long[layout.workers.size()]);
+    Room room = new Room(layout, new long[layout.workers.size()], new long[layout.workers.size()]);
     Arrays.setAll(room.freeBits, layout::allBits);
     return room;
   }
@@ -92,14 +94,19 @@
    * @return the room
    */
   public Room only(List<Member> members) {
-    Room room = new Room(layout, new long[freeBits.length]);
+    Room room = new Room(layout, new long[freeBits.length], lossMillis);
     members.forEach(member -> room.give(member.acceleratorIds()));
     return room;
   }
 
   /** Returns a copy that can be changed without changing this one. */
   public Room copy() {
-    return new Room(layout, freeBits.clone());
+    return new Room(layout, freeBits.clone(), lossMillis);
+  }
+
+  /** Returns the number of racks. */
+  public int racks() {
+    return layout.groups.get(Adjacency.RACK).length;
   }
 
   /** Returns the number of free accelerators. */
@@ -134,6 +141,19 @@
     members.forEach(member -> take(member.acceleratorIds()));
   }
 
+  /**
+   * Notes what would be lost if a worker's accelerators were cleared. Shared by all copies.
+   *
+   * @param id the worker
+   * @param acceleratorMillis work that would have to be done again
+   */
+  public void addLoss(WorkerId id, long acceleratorMillis) {
+    Integer worker = layout.numbers.get(id);
+    if (worker != null) {
+      lossMillis[worker] += acceleratorMillis;
+    }
+  }
+
   /**
    * Marks accelerators as free. Those of workers that are not here are passed over.
    *
@@ -213,31 +233,37 @@
   }
 
   /**
-   * Finds room for a shape, as {@link #find(Shape)} does.
+   * Finds room for a shape in the group in which least work would be lost by clearing it, of
+   * several such groups the one with fewest accelerators to clear, then the tightest.
    *
    * @param shape the shape
    * @param avoid workers to leave out
-   * @param preferred another room with the same workers; of two groups that are equally tight, and
-   *     of two accelerators of a worker, the one with more that is free there too is taken
+   * @param clear another room with the same workers; what is not free there has to be cleared
    * @return where each member goes, or empty if there is no room
    */
-  public Optional<List<Member>> find(Shape shape, Set<WorkerId> avoid, Room preferred) {
+  public Optional<List<Member>> find(Shape shape, Set<WorkerId> avoid, Room clear) {
     int[] best = null;
     int bestFree = Integer.MAX_VALUE;
-    int bestPreferred = -1;
+    int bestToClear = Integer.MAX_VALUE;
+    long bestLossMillis = Long.MAX_VALUE;
     for (int[] group : layout.groups.get(shape.adjacency())) {
       int free = freeIfHolds(group, shape, avoid);
-      if (free < 0 || free > bestFree) {
+      if (free < 0) {
         continue;
       }
-      int preferredFree = preferred.free(group);
-      if (free < bestFree || preferredFree > bestPreferred) {
+      int toClear = clear == this ? 0 : Math.max(0, shape.accelerators() - clear.free(group));
+      long loss = toClear == 0 ? 0 : clear.loss(group);
+      boolean sameLoss = loss == bestLossMillis;
+      if (loss < bestLossMillis
+          || (sameLoss && toClear < bestToClear)
+          || (sameLoss && toClear == bestToClear && free < bestFree)) {
         best = group;
         bestFree = free;
-        bestPreferred = preferredFree;
+        bestToClear = toClear;
+        bestLossMillis = loss;
       }
     }
-    return best == null ? Optional.empty() : Optional.of(place(best, shape, avoid, preferred));
+    return best == null ? Optional.empty() : Optional.of(place(best, shape, avoid, clear));
   }
 
   /**
@@ -283,6 +309,14 @@
     return free;
   }
 
+  private long loss(int[] group) {
+    long loss = 0;
+    for (int worker : group) {
+      loss += lossMillis[worker];
+    }
+    return loss;
+  }
+
   /** Returns the free accelerators of a group that holds the shape, or -1 if it does not. */
   private int freeIfHolds(int[] group, Shape shape, Set<WorkerId> avoid) {
     int free = 0;
@@ -300,7 +334,7 @@
     return avoided ? 0 : Long.bitCount(freeBits[worker]);
   }
 
-  private List<Member> place(int[] group, Shape shape, Set<WorkerId> avoid, Room preferred) {
+  private List<Member> place(int[] group, Shape shape, Set<WorkerId> avoid, Room clear) {
     List<Integer> fullestFirst = new ArrayList<>(group.length);
     for (int worker : group) {
       fullestFirst.add(worker);
@@ -313,7 +347,7 @@
       for (int i = 0; i < here && members.size() < shape.members(); i++) {
         List<Integer> indices = new ArrayList<>(shape.acceleratorsPerMember());
         for (int k = 0; k < shape.acceleratorsPerMember(); k++) {
-          long liked = bits & preferred.freeBits[worker];
+          long liked = bits & clear.freeBits[worker];
           int index = Long.numberOfTrailingZeros(liked != 0 ? liked : bits);
           indices.add(index);
           bits &= ~(1L << index);
