--- a/org.peridotroute.bench/src/org/peridotroute/bench/failover/FailoverMain.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/failover/FailoverMain.java
@@ -2,27 +2,21 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.net.ServerSocket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import org.peridotroute.bench.Arguments;
+import org.peridotroute.bench.BenchCluster;
 import org.peridotroute.bench.Figures;
-import org.peridotroute.http.HttpCaller;
+import org.peridotroute.bench.ServeProcess;
 import org.peridotroute.http.HttpReply;
 import org.peridotroute.http.Json;
-import org.peridotroute.lib.PlaceId;
-import org.peridotroute.lib.VmId;
-import org.peridotroute.lib.VmInfo;
 import org.peridotroute.lib.WorkerId;
-import org.peridotroute.standin.PlatformStandIn;
 import org.peridotroute.standin.TaskRun;
 
 /**
@@ -33,39 +27,24 @@
   private static final int VMS = 4;
   private static final int RACKS = 2;
   private static final int WORKERS_PER_RACK = 4;
-  private static final long READY_MILLIS = 30_000;
   private static final long PLACED_MILLIS = 60_000;
   private static final long ENDED_MILLIS = 120_000;
   private static final long POLL_MILLIS = 20;
-  private static final long CALL_MILLIS = 10_000;
   private static final int PAUSE_MILLIS = 6_000;
   private static final String SPEC =
       "{\"shape\":{\"members\":2,\"acceleratorsPerMember\":1},\"payload\":\"run=%d echo=%s\"}";
   private static final String ORGANISATION =
       "{\"guarantees\":[{\"shape\":{\"members\":2,\"acceleratorsPerMember\":1},\"count\":32}]}";
 
-  private final HttpCaller caller = new HttpCaller();
   private final Figures figures = new Figures(System.out);
   private final SplittableRandom random;
-  private final PlatformStandIn platform;
-  private final List<ServeProcess> vms = new ArrayList<>();
+  private final BenchCluster cluster;
   private final List<String> accepted = new ArrayList<>();
   private int jobs;
 
   private FailoverMain(long seed, Path jar) throws IOException {
     random = new SplittableRandom(seed);
-    platform =
-        PlatformStandIn.newBuilder(0).setRacks(RACKS).setWorkersPerRack(WORKERS_PER_RACK).build();
-    platform.start();
-    caller.start();
-    Path folder = Files.createTempDirectory("peridotroute-failover");
-    for (int i = 0; i < VMS; i++) {
-      ServeProcess vm =
-          new ServeProcess("vm-" + (i + 1), freePort(), freePort(), jar, folder, platform.url());
-      vms.add(vm);
-      platform.addVm(
-          new VmInfo(new VmId(vm.name()), new PlaceId("quimper"), false, vm.url(), vm.peer()));
-    }
+    cluster = new BenchCluster(jar, RACKS, WORKERS_PER_RACK);
   }
 
   /**
@@ -81,22 +60,19 @@
     try {
       bench.run((int) options.number("--kills", 5));
     } finally {
-      for (ServeProcess vm : bench.vms) {
-        vm.kill();
-      }
-      bench.platform.stop();
+      bench.cluster.stop();
     }
     System.exit(0);
   }
 
   private void run(int kills) throws Exception {
-    for (ServeProcess vm : vms) {
-      vm.start();
+    for (int i = 0; i < VMS; i++) {
+      cluster.addVm();
     }
-    for (ServeProcess vm : vms) {
-      awaitReady(vm);
+    for (ServeProcess vm : vms()) {
+      cluster.awaitReady(vm);
     }
-    call("PUT", vms.get(0), "/v1/organisations/le-goff", ORGANISATION);
+    cluster.call("PUT", vms().get(0), "/v1/organisations/le-goff", ORGANISATION);
     report("calm", measure(kills, vm -> {}, vm -> {}));
     report("planner_killed", measure(kills, ServeProcess::kill, this::startAgain));
     report(
@@ -107,7 +83,7 @@
             vm -> {
               Thread.sleep(PAUSE_MILLIS);
               vm.resume();
-              awaitReady(vm);
+              cluster.awaitReady(vm);
             }));
     report("all_replaced", replaceAll());
     reportJobs();
@@ -121,7 +97,7 @@
   private Histogram measure(int times, Deed harm, Deed mend) throws Exception {
     Histogram histogram = new Histogram(3);
     for (int i = 0; i < times; i++) {
-      submit(500 + random.nextInt(4_000), vms.get(random.nextInt(VMS)));
+      submit(500 + random.nextInt(4_000), vms().get(random.nextInt(VMS)));
       ServeProcess planner = planner();
       harm.to(planner);
       histogram.recordValue(timeToPlacement(planner));
@@ -133,7 +109,7 @@
   /** Replaces all VMs one after the other, as a planned roll-out does. */
   private Histogram replaceAll() throws Exception {
     Histogram histogram = new Histogram(3);
-    for (ServeProcess vm : vms) {
+    for (ServeProcess vm : vms()) {
       submit(500 + random.nextInt(4_000), vm);
       vm.stop();
       histogram.recordValue(timeToPlacement(vm));
@@ -144,11 +120,11 @@
 
   private void startAgain(ServeProcess vm) throws Exception {
     vm.start();
-    awaitReady(vm);
+    cluster.awaitReady(vm);
   }
 
   private long timeToPlacement(ServeProcess harmed) throws Exception {
-    ServeProcess other = vms.stream().filter(vm -> vm != harmed).findFirst().orElseThrow();
+    ServeProcess other = vms().stream().filter(vm -> vm != harmed).findFirst().orElseThrow();
     long startNanos = System.nanoTime();
     String job = submit(200, other);
     long deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(PLACED_MILLIS);
@@ -162,7 +138,8 @@
     jobs++;
     String name = "job-" + jobs;
     HttpReply reply =
-        call("PUT", vm, "/v1/organisations/le-goff/jobs/" + name, SPEC.formatted(runMillis, name));
+        cluster.call(
+            "PUT", vm, "/v1/organisations/le-goff/jobs/" + name, SPEC.formatted(runMillis, name));
     if (reply.isOk()) {
       accepted.add(name);
     }
@@ -171,8 +148,8 @@
 
   private ServeProcess planner() throws Exception {
     while (true) {
-      for (ServeProcess vm : vms) {
-        JsonNode dump = Json.readTree(call("GET", vm, "/v1/dump", null).body());
+      for (ServeProcess vm : vms()) {
+        JsonNode dump = Json.readTree(cluster.call("GET", vm, "/v1/dump", null).body());
         if (dump.path("isPlanner").asBoolean()) {
           return vm;
         }
@@ -181,29 +158,13 @@
     }
   }
 
-  private void awaitReady(ServeProcess vm) throws InterruptedException {
-    long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
-    while (System.nanoTime() < deadlineNanos) {
-      try {
-        if (call("GET", vm, "/v1/health", null).isOk()) {
-          return;
-        }
-      } catch (ExecutionException e) {
-        // The process does not listen yet.
-      }
-      Thread.sleep(POLL_MILLIS);
-    }
-    throw new IllegalStateException(vm.name() + " did not become ready");
-  }
-
   private String phase(ServeProcess vm, String job) throws Exception {
-    HttpReply reply = call("GET", vm, "/v1/organisations/le-goff/jobs/" + job, null);
+    HttpReply reply = cluster.call("GET", vm, "/v1/organisations/le-goff/jobs/" + job, null);
     return reply.isOk() ? Json.readTree(reply.body()).path("phase").asText() : "queued";
   }
 
-  private HttpReply call(String method, ServeProcess vm, String path, String body)
-      throws InterruptedException, ExecutionException {
-    return caller.call(method, vm.url() + path, body, CALL_MILLIS).get();
+  private List<ServeProcess> vms() {
+    return cluster.vms();
   }
 
   private void report(String name, Histogram millis) {
@@ -225,11 +186,11 @@
     int unknown = 0;
     long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ENDED_MILLIS);
     for (String job : accepted) {
-      while (!phase(vms.get(0), job).equals("ended") && System.nanoTime() < deadlineNanos) {
+      while (!phase(vms().get(0), job).equals("ended") && System.nanoTime() < deadlineNanos) {
         Thread.sleep(POLL_MILLIS);
       }
       String path = "/v1/organisations/le-goff/jobs/" + job;
-      JsonNode view = Json.readTree(call("GET", vms.get(0), path, null).body());
+      JsonNode view = Json.readTree(cluster.call("GET", vms().get(0), path, null).body());
       lost += view.path("phase").asText().equals("ended") ? 0 : 1;
       unknown += view.path("outcome").asText().equals("unknown") ? 1 : 0;
     }
@@ -244,7 +205,7 @@
     Set<String> twice = new HashSet<>();
     for (int rack = 1; rack <= RACKS; rack++) {
       for (int i = 1; i <= WORKERS_PER_RACK; i++) {
-        for (TaskRun run : platform.worker(new WorkerId("w-" + rack + "-" + i)).runs()) {
+        for (TaskRun run : cluster.platform().worker(new WorkerId("w-" + rack + "-" + i)).runs()) {
           if (!seen.add(run.job() + "#" + run.member())) {
             twice.add(run.job().toString());
           }
@@ -253,10 +214,4 @@
     }
     return twice.size();
   }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
 }
--- a/org.peridotroute.http/src/org/peridotroute/http/HttpCaller.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/HttpCaller.java
@@ -6,6 +6,8 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.UndertowClient;
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.StringReadChannelListener;
@@ -21,6 +23,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -36,11 +39,16 @@
 public final class HttpCaller {
   private static final int BUFFER_BYTES = 16 * 1024;
   private static final int MAX_IDLE_PER_SERVER = 8;
+  private static final int LINE_BYTES = 14;
+  private static final int SEPARATOR_BYTES = 4;
   private static final String NO_ANSWER = "no answer from %s within %d ms";
 
   private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
   private final Map<String, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
   private final AtomicInteger open = new AtomicInteger();
+  private final LongAdder calls = new LongAdder();
+  private final LongAdder sentBytes = new LongAdder();
+  private final LongAdder receivedBytes = new LongAdder();
   private XnioWorker worker;
 
   /** Starts the thread that reads and writes. */
@@ -72,6 +80,21 @@
     return open.get();
   }
 
+  /** Returns the number of calls begun. */
+  public long calls() {
+    return calls.sum();
+  }
+
+  /** Returns the bytes sent, bodies and headers. */
+  public long sentBytes() {
+    return sentBytes.sum();
+  }
+
+  /** Returns the bytes received, bodies and headers. */
+  public long receivedBytes() {
+    return receivedBytes.sum();
+  }
+
   /**
    * Makes a call.
    *
@@ -87,6 +110,7 @@
       String method, String url, String body, long timeoutMillis) {
     URI uri = URI.create(url);
     Call call = new Call(method, uri, body, timeoutMillis);
+    calls.increment();
     call.begin();
     return call.reply;
   }
@@ -189,9 +213,26 @@
         request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(length));
       }
+      int bodyBytes = body == null ? 0 : body.getBytes(StandardCharsets.UTF_8).length;
+      sentBytes.add(
+          LINE_BYTES
+              + method.length()
+              + path.length()
+              + bodyBytes
+              + size(request.getRequestHeaders()));
       return request;
     }
 
+    private int size(HeaderMap headers) {
+      int bytes = 0;
+      for (HeaderValues values : headers) {
+        for (String value : values) {
+          bytes += values.getHeaderName().length() + value.length() + SEPARATOR_BYTES;
+        }
+      }
+      return bytes;
+    }
+
     private void succeed(HttpReply answer) {
       timer.remove();
       if (reply.complete(answer)) {
@@ -237,6 +278,10 @@
         new StringReadChannelListener(buffers) {
           @Override
           protected void stringDone(String text) {
+            receivedBytes.add(
+                LINE_BYTES
+                    + text.getBytes(StandardCharsets.UTF_8).length
+                    + size(exchange.getResponse().getResponseHeaders()));
             succeed(new HttpReply(status, text));
           }
 
--- a/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
@@ -13,6 +13,7 @@
 import org.peridotroute.control.Proposals;
 import org.peridotroute.control.RecordSink;
 import org.peridotroute.fold.JobFold;
+import org.peridotroute.fold.JobPhase;
 import org.peridotroute.http.HttpCaller;
 import org.peridotroute.http.HttpReply;
 import org.peridotroute.http.HttpService;
@@ -325,9 +326,23 @@
     gauge("journal.records", journalWriter::records);
     gauge("config.offset", () -> state.config().offset());
     gauge("jobs.open", () -> state.jobs().openJobs());
+    gauge("jobs.running", this::runningJobs);
     gauge("accelerators.held", () -> state.jobs().holders().size());
     gauge("driver.gangs", driver.driver()::size);
     gauge("http.connections", caller::openConnections);
+    gauge("http.calls", caller::calls);
+    gauge("http.sentBytes", caller::sentBytes);
+    gauge("http.receivedBytes", caller::receivedBytes);
+    gauge("peer.bytes", () -> peers.traffic().bytes());
+    gauge(
+        "heap.usedBytes",
+        () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+  }
+
+  private long runningJobs() {
+    return state.jobs().jobs().values().stream()
+        .filter(job -> job.phase() == JobPhase.RUNNING)
+        .count();
   }
 
   private <T extends Number> void gauge(String name, Gauge<T> gauge) {
--- a/org.peridotroute.server/src/org/peridotroute/server/client/HttpDirectoryClient.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/client/HttpDirectoryClient.java
@@ -9,12 +9,14 @@
 import org.peridotroute.http.Json;
 import org.peridotroute.lib.Directory;
 import org.peridotroute.platform.DirectoryClient;
+import org.peridotroute.platform.DirectoryReply;
 
 /** The platform's list of machines over HTTP. Safe for use by several threads. */
 public final class HttpDirectoryClient implements DirectoryClient {
   private final HttpCaller caller;
   private final String url;
   private final long timeoutMillis;
+  private volatile DirectoryReply last = new DirectoryReply(0, Directory.EMPTY);
 
   /**
    * Creates a client.
@@ -32,16 +34,20 @@
   @Override
   public CompletableFuture<Directory> read() {
     return caller
-        .call("GET", url + "/v1/directory", null, timeoutMillis)
-        .thenApply(HttpDirectoryClient::parse);
+        .call("GET", url + "/v1/directory?version=" + last.version(), null, timeoutMillis)
+        .thenApply(this::parse);
   }
 
-  private static Directory parse(HttpReply reply) {
+  private Directory parse(HttpReply reply) {
     if (!reply.isOk()) {
       throw new CompletionException(new IOException("status " + reply.status()));
     }
     try {
-      return Json.read(reply.body(), Directory.class);
+      DirectoryReply answer = Json.read(reply.body(), DirectoryReply.class);
+      if (answer.directory() != null) {
+        last = answer;
+      }
+      return last.directory();
     } catch (JsonProcessingException e) {
       throw new CompletionException(e);
     }
--- a/org.peridotroute.server/src/org/peridotroute/server/peer/FrameCodec.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/peer/FrameCodec.java
@@ -17,16 +17,23 @@
   private static final int MAX_FRAME_BYTES = 256 * 1024;
   private static final int LENGTH_BYTES = 4;
 
-  static void addTo(ChannelPipeline pipeline) {
+  private final Traffic traffic;
+
+  private FrameCodec(Traffic traffic) {
+    this.traffic = traffic;
+  }
+
+  static void addTo(ChannelPipeline pipeline, Traffic traffic) {
     pipeline.addLast(
         new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
         new LengthFieldPrepender(LENGTH_BYTES),
-        new FrameCodec());
+        new FrameCodec(traffic));
   }
 
   @Override
   protected void encode(ChannelHandlerContext context, PeerFrame frame, List<Object> out)
       throws IOException {
+    traffic.add(LENGTH_BYTES + frame.getSerializedSize());
     ByteBuf buffer = context.alloc().buffer(frame.getSerializedSize());
     try (ByteBufOutputStream stream = new ByteBufOutputStream(buffer)) {
       frame.writeTo(stream);
@@ -37,6 +44,7 @@
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
       throws IOException {
+    traffic.add(LENGTH_BYTES + buffer.readableBytes());
     try (ByteBufInputStream stream = new ByteBufInputStream(buffer)) {
       out.add(PeerFrame.parseFrom(stream));
     }
--- a/org.peridotroute.server/src/org/peridotroute/server/peer/PeerLink.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/peer/PeerLink.java
@@ -39,7 +39,12 @@
   private boolean connecting;
   private long heardNanos;
 
-  PeerLink(String address, EventLoopGroup group, long silentMillis, Consumer<PeerStatus> onStatus) {
+  PeerLink(
+      String address,
+      EventLoopGroup group,
+      long silentMillis,
+      Traffic traffic,
+      Consumer<PeerStatus> onStatus) {
     this.address = address;
     this.silentMillis = silentMillis;
     this.onStatus = onStatus;
@@ -53,7 +58,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel fresh) {
-                    FrameCodec.addTo(fresh.pipeline());
+                    FrameCodec.addTo(fresh.pipeline(), traffic);
                     fresh.pipeline().addLast(new Replies());
                   }
                 });
--- a/org.peridotroute.server/src/org/peridotroute/server/peer/PeerService.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/peer/PeerService.java
@@ -53,6 +53,7 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final Map<VmId, PeerLink> links = new TreeMap<>();
   private final Map<VmId, Heard> heard = new ConcurrentSkipListMap<>();
+  private final Traffic traffic = new Traffic();
   private volatile Directory members = Directory.EMPTY;
   private volatile int boundPort;
 
@@ -99,7 +100,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel fresh) {
-                    FrameCodec.addTo(fresh.pipeline());
+                    FrameCodec.addTo(fresh.pipeline(), traffic);
                     fresh.pipeline().addLast(new Requests());
                   }
                 })
@@ -125,6 +126,11 @@
     return members;
   }
 
+  /** Returns what has gone to and come from peers. */
+  public Traffic traffic() {
+    return traffic;
+  }
+
   /** Returns the last status of each peer. */
   public Map<VmId, Heard> heard() {
     return heard;
@@ -200,7 +206,7 @@
     wanted.forEach(
         (vm, address) ->
             links.computeIfAbsent(
-                vm, id -> new PeerLink(address, group, suspectMillis, this::onStatus)));
+                vm, id -> new PeerLink(address, group, suspectMillis, traffic, this::onStatus)));
   }
 
   private void onStatus(PeerStatus status) {
--- a/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
@@ -30,6 +30,7 @@
 import org.peridotroute.platform.AppendReply;
 import org.peridotroute.platform.AppendRequest;
 import org.peridotroute.platform.CommandBatch;
+import org.peridotroute.platform.DirectoryReply;
 import org.peridotroute.platform.ExpiredReply;
 import org.peridotroute.platform.LogPage;
 import org.peridotroute.platform.ReportBatch;
@@ -43,6 +44,7 @@
   private static final int WORKER_THREADS = 64;
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
   private static final long PROBE_MILLIS = 500;
+  private static final int MAX_LISTINGS = 256;
   private static final long DRAIN_MILLIS = 200;
 
   private final LogStandIn log = new LogStandIn();
@@ -59,7 +61,7 @@
   private volatile long listLagMillis;
 
   /** The list as it was at one moment. */
-  private record Listing(long atMillis, Directory directory) {}
+  private record Listing(long atMillis, long version, Directory directory) {}
 
   private PlatformStandIn(Builder builder) {
     vms.addAll(builder.vms);
@@ -69,7 +71,7 @@
             .setMaxBodyBytes(MAX_BODY_BYTES)
             .route("POST", "/v1/streams/{stream}/records", this::append)
             .route("GET", "/v1/streams/{stream}/records", this::read)
-            .route("GET", "/v1/directory", request -> HttpReply.ok(lagged()))
+            .route("GET", "/v1/directory", this::list)
             .route("POST", "/workers/{worker}/v1/tasks", this::tasks)
             .route("GET", "/workers/{worker}/v1/runs", this::runs)
             .route("POST", "/v1/faults", this::faults)
@@ -95,7 +97,7 @@
   public void start() {
     http.start();
     probes.start();
-    listings.add(new Listing(nowMillis(), directory(List.of())));
+    listings.add(new Listing(nowMillis(), 1, directory(List.of())));
     var unused = prober.scheduleWithFixedDelay(this::probe, 0, PROBE_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -250,12 +252,19 @@
     }
   }
 
-  private synchronized Directory lagged() {
+  private HttpReply list(HttpRequest request) {
+    Listing seen = lagged();
+    String known = request.parameter("version");
+    boolean same = Long.toString(seen.version()).equals(known);
+    return HttpReply.ok(new DirectoryReply(seen.version(), same ? null : seen.directory()));
+  }
+
+  private synchronized Listing lagged() {
     long seenAtMillis = nowMillis() - listLagMillis;
-    Directory seen = listings.peekFirst().directory();
+    Listing seen = listings.peekFirst();
     for (Listing listing : listings) {
       if (listing.atMillis() <= seenAtMillis) {
-        seen = listing.directory();
+        seen = listing;
       }
     }
     return seen;
@@ -266,9 +275,12 @@
     List<VmInfo> live =
         answers.stream().map(CompletableFuture::join).filter(vm -> vm != null).toList();
     synchronized (this) {
-      listings.addLast(new Listing(nowMillis(), directory(live)));
-      while (listings.size() > 1
-          && nowMillis() - listings.peekFirst().atMillis() > listLagMillis + 60_000) {
+      Directory latest = directory(live);
+      Listing last = listings.peekLast();
+      if (!latest.equals(last.directory())) {
+        listings.addLast(new Listing(nowMillis(), last.version() + 1, latest));
+      }
+      if (listings.size() > MAX_LISTINGS) {
         listings.removeFirst();
       }
     }
