--- a/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/Sabotages.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/Sabotages.java
@@ -51,7 +51,7 @@
         command.token(),
         lease,
         FuzzVm.GANG_TIMES.leaseMillis(),
-        command.accelerators(),
+        command.accelerators() == null ? List.of() : command.accelerators(),
         "");
   }
 }
--- a/org.peridotroute.server/src/org/peridotroute/server/client/HttpWorkerGateway.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/client/HttpWorkerGateway.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +18,6 @@
 import org.peridotroute.http.Json;
 import org.peridotroute.lib.Directory;
 import org.peridotroute.lib.WorkerId;
-import org.peridotroute.lib.WorkerInfo;
 import org.peridotroute.platform.CommandBatch;
 import org.peridotroute.platform.ReportBatch;
 
@@ -32,6 +32,8 @@
   private final HttpCaller caller;
   private final Supplier<Directory> directory;
   private final long timeoutMillis;
+  private final Map<WorkerId, String> urls = new HashMap<>();
+  private Directory urlsOf;
   private Map<WorkerId, List<Waiting>> batches = new LinkedHashMap<>();
 
   /** A command that waits for the next flush. */
@@ -79,15 +81,19 @@
     }
   }
 
-  private Optional<String> url(WorkerId worker) {
-    return directory.get().workers().stream()
-        .filter(info -> info.id().equals(worker))
-        .map(WorkerInfo::url)
-        .findFirst();
+  @SuppressWarnings("ReferenceEquality")
+  private synchronized Optional<String> url(WorkerId worker) {
+    Directory latest = directory.get();
+    if (latest != urlsOf) {
+      urlsOf = latest;
+      urls.clear();
+      latest.workers().forEach(info -> urls.put(info.id(), info.url()));
+    }
+    return Optional.ofNullable(urls.get(worker));
   }
 
   private void call(WorkerId worker, String url, List<Waiting> batch) {
-    CommandBatch commands = new CommandBatch(batch.stream().map(Waiting::command).toList());
+    CommandBatch commands = CommandBatch.of(batch.stream().map(Waiting::command).toList());
     var unused =
         caller
             .call("POST", url + "/v1/tasks", Json.write(commands), timeoutMillis)
@@ -106,19 +112,26 @@
     try {
       List<TaskReport> reports =
           reply.isOk() ? Json.read(reply.body(), ReportBatch.class).reports() : List.of();
-      if (reports.size() != batch.size()) {
-        String reason = "status " + reply.status() + " with " + reports.size() + " reports";
-        fail(batch, new WorkerUnreachableException(worker.value(), reason));
-        return;
-      }
-      for (int i = 0; i < batch.size(); i++) {
-        batch.get(i).report().complete(reports.get(i));
+      for (Waiting waiting : batch) {
+        deliver(worker, reply, reports, waiting);
       }
     } catch (JsonProcessingException e) {
       fail(batch, new WorkerUnreachableException(worker.value(), e.getOriginalMessage()));
     }
   }
 
+  private static void deliver(
+      WorkerId worker, HttpReply reply, List<TaskReport> reports, Waiting waiting) {
+    Optional<TaskReport> own =
+        reports.stream().filter(report -> report.answers(waiting.command())).findFirst();
+    if (own.isPresent()) {
+      waiting.report().complete(own.get());
+    } else {
+      String reason = "status " + reply.status() + " without a report on the task";
+      fail(List.of(waiting), new WorkerUnreachableException(worker.value(), reason));
+    }
+  }
+
   private static void fail(List<Waiting> batch, WorkerUnreachableException failure) {
     batch.forEach(waiting -> waiting.report().completeExceptionally(failure));
   }
--- a/org.peridotroute.server/src/org/peridotroute/server/service/DriverService.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/DriverService.java
@@ -15,7 +15,7 @@
 /** Steps the gang driver on a thread of its own; answers of workers come back through its ring. */
 public final class DriverService implements Duty<Runnable> {
   private static final int RING_SLOTS = 16_384;
-  private static final long TICK_MILLIS = 100;
+  private static final long TICK_MILLIS = 200;
 
   private final FoldedState state;
   private final Supplier<Directory> members;
--- a/org.peridotroute.server/src/org/peridotroute/server/service/PlannerService.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/PlannerService.java
@@ -12,7 +12,7 @@
 /** Steps the planner's role on a thread of its own, when the state changes and at ticks. */
 public final class PlannerService implements Duty<PlannerService.Signal> {
   private static final int RING_SLOTS = 16;
-  private static final long TICK_MILLIS = 100;
+  private static final long TICK_MILLIS = 200;
 
   private final Planner planner;
   private final FoldedState state;
--- a/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
@@ -195,7 +195,7 @@
     for (TaskCommand command : Json.read(request.body(), CommandBatch.class).commands()) {
       reports.add(worker.handle(command, nowMillis()));
     }
-    return HttpReply.ok(new ReportBatch(reports));
+    return HttpReply.ok(ReportBatch.of(reports));
   }
 
   private HttpReply runs(HttpRequest request) {
--- a/org.peridotroute/src/org/peridotroute/control/Gang.java
+++ b/org.peridotroute/src/org/peridotroute/control/Gang.java
@@ -18,6 +18,8 @@
  * again from the state and the workers. Mutable; used by the driver's thread alone.
  */
 final class Gang {
+  private static final int AGE_SHARE = 10;
+
   private final Allocation allocation;
   private final GangTimes times;
   private final WorkerGateway gateway;
@@ -151,7 +153,7 @@
    */
   private void renewRound() {
     boolean allAnswered = members.stream().allMatch(this::answeredInRound);
-    if (allAnswered && nowMillis - roundMillis >= times.renewMillis()) {
+    if (allAnswered && nowMillis - roundMillis >= roundIntervalMillis()) {
       roundMillis = nowMillis;
     }
     for (MemberTrack member : members) {
@@ -168,6 +170,15 @@
     }
   }
 
+  /**
+   * Returns the time between two rounds: short for a young gang, whose end is soon looked for, and
+   * up to the time between renewals for one that has run for long and is quiet.
+   */
+  private long roundIntervalMillis() {
+    long ageMillis = nowMillis - takenOnMillis;
+    return Math.min(times.renewMillis(), Math.max(times.retryMillis(), ageMillis / AGE_SHARE));
+  }
+
   private boolean answeredInRound(MemberTrack member) {
     return member.started && member.answeredMillis >= roundMillis;
   }
@@ -239,7 +250,7 @@
             allocation.token(),
             lease(member, action),
             action == TaskAction.RELEASE ? 0 : times.leaseMillis(),
-            member.member.accelerators(),
+            fences(action) ? member.member.accelerators() : null,
             prepare ? job.spec().payload() : null);
     long sentMillis = nowMillis;
     member.inFlight = true;
@@ -260,6 +271,10 @@
                 continuations);
   }
 
+  private static boolean fences(TaskAction action) {
+    return action == TaskAction.PREPARE || action == TaskAction.RELEASE;
+  }
+
   private String lease(MemberTrack member, TaskAction action) {
     boolean named = action == TaskAction.START || action == TaskAction.RENEW;
     return named ? held.leases().get(member.number) : null;
--- a/org.peridotroute/src/org/peridotroute/control/GangDriver.java
+++ b/org.peridotroute/src/org/peridotroute/control/GangDriver.java
@@ -1,5 +1,6 @@
 package org.peridotroute.control;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,6 +30,10 @@
   private final RecordSink sink;
   private final Executor continuations;
   private final Map<Long, Gang> gangs = new TreeMap<>();
+  private final Map<Long, Boolean> isOwn = new HashMap<>();
+  private Directory seen;
+  private List<VmId> candidates = List.of();
+  private Set<WorkerId> staying = Set.of();
 
   /**
    * Creates the driver.
@@ -56,16 +61,11 @@
    * @param nowMillis monotonic time
    */
   public void step(JobState state, Directory directory, long nowMillis) {
-    List<VmId> candidates =
-        directory.vms().stream().filter(vm -> !vm.leaving()).map(VmInfo::id).toList();
-    Set<WorkerId> staying =
-        directory.workers().stream()
-            .filter(worker -> !worker.leaving())
-            .map(WorkerInfo::id)
-            .collect(Collectors.toSet());
+    take(directory);
     gangs.keySet().retainAll(state.allocations().keySet());
+    isOwn.keySet().retainAll(state.allocations().keySet());
     for (Allocation allocation : state.allocations().values()) {
-      boolean mine = Rendezvous.pick(allocation.job(), candidates).filter(self::equals).isPresent();
+      boolean mine = isOwn.computeIfAbsent(allocation.token(), token -> pick(allocation));
       if (mine) {
         gangs
             .computeIfAbsent(allocation.token(), token -> newGang(allocation, nowMillis))
@@ -81,6 +81,26 @@
     return gangs.size();
   }
 
+  /** Works out who can drive and which workers take work, when the directory has changed. */
+  @SuppressWarnings("ReferenceEquality")
+  private void take(Directory latest) {
+    if (seen == latest) {
+      return;
+    }
+    seen = latest;
+    isOwn.clear();
+    candidates = latest.vms().stream().filter(vm -> !vm.leaving()).map(VmInfo::id).toList();
+    staying =
+        latest.workers().stream()
+            .filter(worker -> !worker.leaving())
+            .map(WorkerInfo::id)
+            .collect(Collectors.toSet());
+  }
+
+  private boolean pick(Allocation allocation) {
+    return Rendezvous.pick(allocation.job(), candidates).filter(self::equals).isPresent();
+  }
+
   private Gang newGang(Allocation allocation, long nowMillis) {
     return new Gang(allocation, times, gateway, sink, continuations, nowMillis);
   }
--- a/org.peridotroute/src/org/peridotroute/control/TaskCommand.java
+++ b/org.peridotroute/src/org/peridotroute/control/TaskCommand.java
@@ -14,8 +14,8 @@
  *     same accelerators
  * @param lease id of the lease meant; with a start and a renewal alone
  * @param leaseMillis the lease, counted by the worker from receipt; 0 with a release
- * @param accelerators numbers of the accelerators, so that a worker can fence them whatever it has
- *     seen
+ * @param accelerators numbers of the accelerators; with a prepare, and with a release so that a
+ *     worker can fence them whatever it has seen
  * @param payload what the task works on; with a prepare alone
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
