Keep the whole room of a guaranteed shape that is used in part

Cause: a job smaller than the guaranteed shape it ran in freed the rest of the shape for other owners' guaranteed jobs. When it ended, its owner's rack was held by jobs that cannot be reclaimed.

Change: used shapes are packed with the unused ones, each counting on its own job's accelerators. A declaration with which not all guarantees could be had at once is now refused with the shapes that are left over.

--- a/org.peridotroute.bench/src/org/peridotroute/bench/policy/ReplayFigures.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/policy/ReplayFigures.java
@@ -115,7 +115,7 @@
       }
       Optional<Guarantees.Owned> owned = unused.find(job.key().organisation(), job.spec().shape());
       if (owned.isPresent()) {
-        unused.use(owned.get());
+        unused.use(owned.get(), List.of());
         entitled.add(job.key());
       }
     }
--- a/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
@@ -299,7 +299,8 @@
             directory::directory,
             new Committer(journal, journalWriter, health, timeoutMillis))
         .addTo(builder);
-    new OrganisationResource(state, new Committer(config, configWriter, health, timeoutMillis))
+    new OrganisationResource(
+            state, directory::directory, new Committer(config, configWriter, health, timeoutMillis))
         .addTo(builder);
     new PeerResource(this::status, peers).addTo(builder);
     new ClusterResource(state, directory::directory).addTo(builder);
--- a/org.peridotroute.server/src/org/peridotroute/server/api/ErrorCode.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/ErrorCode.java
@@ -27,6 +27,8 @@
   NO_ANSWER(409),
   /** No guarantee of the organisation can hold a non-idempotent job. */
   NO_GUARANTEE(422),
+  /** The guarantees of all organisations together would not fit any more. */
+  GUARANTEE_DOES_NOT_FIT(422),
   /** Nothing that there is could ever hold the shape. */
   IMPOSSIBLE_SHAPE(422),
   /** The organisation still has jobs. */
--- a/org.peridotroute.server/src/org/peridotroute/server/api/OrganisationResource.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/OrganisationResource.java
@@ -1,6 +1,7 @@
 package org.peridotroute.server.api;
 
 import java.util.List;
+import java.util.function.Supplier;
 import org.peridotroute.fold.ConfigState;
 import org.peridotroute.fold.Verdict;
 import org.peridotroute.http.HttpReply;
@@ -8,8 +9,11 @@
 import org.peridotroute.http.HttpService;
 import org.peridotroute.http.Json;
 import org.peridotroute.journal.LogRecord;
+import org.peridotroute.lib.Directory;
 import org.peridotroute.lib.Organisation;
 import org.peridotroute.lib.OrganisationId;
+import org.peridotroute.policy.Guarantees;
+import org.peridotroute.policy.Room;
 import org.peridotroute.server.service.FoldedState;
 import org.peridotroute.server.service.History;
 import org.peridotroute.server.view.OrganisationView;
@@ -21,16 +25,20 @@
   private static final long MAX_WAIT_MILLIS = 30_000;
 
   private final FoldedState state;
+  private final Supplier<Directory> directory;
   private final Committer committer;
 
   /**
    * Creates the resource.
    *
    * @param state the folded state
+   * @param directory the list of workers
    * @param committer what proposes changes to the configuration
    */
-  public OrganisationResource(FoldedState state, Committer committer) {
+  public OrganisationResource(
+      FoldedState state, Supplier<Directory> directory, Committer committer) {
     this.state = state;
+    this.directory = directory;
     this.committer = committer;
   }
 
@@ -50,6 +58,7 @@
   private HttpReply put(HttpRequest request) throws Exception {
     OrganisationId id = Parameters.organisation(request);
     Organisation organisation = Json.read(request.body(), Organisation.class);
+    checkGuaranteesFit(id, organisation);
     long expected = expectedRevision(request, id);
     Verdict verdict = committer.commit(new LogRecord.OrganisationPut(id, organisation, expected));
     return switch (verdict) {
@@ -60,6 +69,25 @@
     };
   }
 
+  /** Refuses guarantees that could not all be had at once, were every accelerator free. */
+  private void checkGuaranteesFit(OrganisationId id, Organisation organisation)
+      throws ApiException {
+    Room whole = Room.allFree(directory.get().workers());
+    List<Guarantees.Owned> before = Guarantees.declared(state.config()).pack(whole, whole).unfit();
+    ConfigState changed = state.config().with(id, organisation);
+    List<Guarantees.Owned> after = Guarantees.declared(changed).pack(whole, whole).unfit();
+    if (after.size() > before.size()) {
+      throw new ApiException(
+          ErrorCode.GUARANTEE_DOES_NOT_FIT,
+          "with organisation " + id + " there would be no room at once for " + describe(after));
+    }
+  }
+
+  private static String describe(List<Guarantees.Owned> unfit) {
+    return String.join(
+        ", ", unfit.stream().map(owned -> owned.shape() + " of " + owned.owner()).toList());
+  }
+
   private HttpReply delete(HttpRequest request) throws ApiException {
     OrganisationId id = Parameters.organisation(request);
     long expected = expectedRevision(request, id);
--- a/org.peridotroute/src/org/peridotroute/fold/ConfigState.java
+++ b/org.peridotroute/src/org/peridotroute/fold/ConfigState.java
@@ -16,6 +16,18 @@
   /** The state before the first record. */
   public static final ConfigState EMPTY = new ConfigState(0, TreePMap.empty(), Writers.NONE);
 
+  /**
+   * Returns this configuration as it would be with one more declaration, for checks.
+   *
+   * @param id the organisation
+   * @param organisation the declaration
+   * @return the configuration, with the same offset
+   */
+  public ConfigState with(OrganisationId id, Organisation organisation) {
+    return new ConfigState(
+        offset, organisations.plus(id, new Declared(organisation, offset)), writers);
+  }
+
   /**
    * An organisation with the revision of its declaration.
    *
--- a/org.peridotroute/src/org/peridotroute/policy/GuaranteedBestFit.java
+++ b/org.peridotroute/src/org/peridotroute/policy/GuaranteedBestFit.java
@@ -234,7 +234,7 @@
 
     private void use(Guarantees.Owned owned, List<Member> room, List<Member> members) {
       packing.use(owned, room);
-      guarantees.use(owned);
+      guarantees.use(owned, members);
       reclaimable.takeMembers(members);
       unpacked = packing.unpacked(free);
     }
@@ -252,7 +252,7 @@
       Room after = reclaimable.copy();
       after.takeMembers(members.get());
       Guarantees rest = guarantees.copy();
-      rest.use(owned);
+      rest.use(owned, members.get());
       Room clearAfter = clearing.copy();
       clearAfter.takeMembers(members.get());
       Packing repacked = rest.pack(after, clearAfter);
@@ -260,7 +260,7 @@
         return false;
       }
       packing = repacked;
-      guarantees.use(owned);
+      guarantees.use(owned, members.get());
       reclaimable.takeMembers(members.get());
       place(job, false, members.get());
       unpacked = packing.unpacked(free);
--- a/org.peridotroute/src/org/peridotroute/policy/Guarantees.java
+++ b/org.peridotroute/src/org/peridotroute/policy/Guarantees.java
@@ -2,14 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.peridotroute.fold.Allocation;
 import org.peridotroute.fold.ConfigState;
-import org.peridotroute.fold.Job;
 import org.peridotroute.fold.JobState;
 import org.peridotroute.lib.GuaranteedShape;
 import org.peridotroute.lib.Member;
@@ -18,9 +17,9 @@
 import org.peridotroute.lib.Shape;
 
 /**
- * Guaranteed shapes that their owners do not use at present. An attempt inside a guarantee uses one
- * whole guaranteed shape, the smallest unused one that holds it. Mutable; owned by one pass of a
- * policy and used by one thread.
+ * Guaranteed shapes of all organisations, used or not at present. An attempt inside a guarantee
+ * uses one whole guaranteed shape, the smallest unused one that holds it. Mutable; owned by one
+ * pass of a policy and used by one thread.
  */
 public final class Guarantees {
   private static final Comparator<Shape> BY_SIZE =
@@ -29,6 +28,7 @@
           .thenComparing(Shape::adjacency);
 
   private final Map<OrganisationId, List<Shape>> unused = new TreeMap<>();
+  private final List<Used> used = new ArrayList<>();
 
   private Guarantees() {}
 
@@ -40,6 +40,14 @@
    */
   public record Owned(OrganisationId owner, Shape shape) {}
 
+  /**
+   * A guaranteed shape that a job uses, in whole or in part.
+   *
+   * @param owned the shape
+   * @param cells where the job is
+   */
+  private record Used(Owned owned, List<Member> cells) {}
+
   /**
    * Works out what is unused.
    *
@@ -48,19 +56,33 @@
    * @return the unused shapes
    */
   public static Guarantees unused(ConfigState config, JobState jobs) {
-    Guarantees guarantees = new Guarantees();
-    config
-        .organisations()
-        .forEach((id, declared) -> guarantees.unused.put(id, shapes(declared.organisation())));
+    Guarantees guarantees = declared(config);
     jobs.allocations().values().stream()
         .filter(held -> !held.borrowed() && !held.releasing())
-        .map(held -> jobs.jobs().get(held.job()))
-        .sorted(Comparator.comparing((Job job) -> job.spec().shape(), BY_SIZE).reversed())
+        .sorted(Comparator.comparing((Allocation held) -> shapeOf(held, jobs), BY_SIZE).reversed())
         .forEach(
-            job ->
+            held ->
                 guarantees
-                    .find(job.key().organisation(), job.spec().shape())
-                    .ifPresent(guarantees::use));
+                    .find(held.job().organisation(), shapeOf(held, jobs))
+                    .ifPresent(owned -> guarantees.use(owned, held.members())));
+    return guarantees;
+  }
+
+  private static Shape shapeOf(Allocation held, JobState jobs) {
+    return jobs.jobs().get(held.job()).spec().shape();
+  }
+
+  /**
+   * Returns all guaranteed shapes, as if none were used.
+   *
+   * @param config declared organisations
+   * @return the shapes
+   */
+  public static Guarantees declared(ConfigState config) {
+    Guarantees guarantees = new Guarantees();
+    config
+        .organisations()
+        .forEach((id, declared) -> guarantees.unused.put(id, shapes(declared.organisation())));
     return guarantees;
   }
 
@@ -68,6 +90,7 @@
   public Guarantees copy() {
     Guarantees copy = new Guarantees();
     unused.forEach((id, shapes) -> copy.unused.put(id, new ArrayList<>(shapes)));
+    copy.used.addAll(used);
     return copy;
   }
 
@@ -100,42 +123,54 @@
    * Marks an unused guaranteed shape as used.
    *
    * @param owned the owner and the shape
+   * @param cells where the job is that uses it
    */
-  public void use(Owned owned) {
+  public void use(Owned owned, List<Member> cells) {
     unused.get(owned.owner()).remove(owned.shape());
+    used.add(new Used(owned, cells));
   }
 
   /**
-   * Packs all unused shapes at once. Greedy, the largest first, so that shapes which all fit are a
-   * proof, and one that does not is none.
+   * Packs all shapes at once, the used ones among them: once its job has ended, each must fit as a
+   * whole again, for which it may count on the job's own accelerators. Greedy, the largest first,
+   * so that shapes which all fit are a proof, and one that does not is none.
    *
    * @param room accelerators that are free or held by borrowers; not changed
-   * @param preferred accelerators to be used first where there is a choice
+   * @param clear accelerators to be used first where there is a choice
    * @return where each goes
    */
-  public Packing pack(Room room, Room preferred) {
+  public Packing pack(Room room, Room clear) {
     Room left = room.copy();
     Packing packing = new Packing();
-    List<Owned> wanted = new ArrayList<>();
-    unused.forEach((id, shapes) -> shapes.forEach(shape -> wanted.add(new Owned(id, shape))));
-    wanted.sort(Comparator.comparing(Owned::shape, BY_SIZE).reversed());
-    Set<Shape> tooLarge = new HashSet<>();
-    for (Owned want : wanted) {
-      Optional<List<Member>> found =
-          tooLarge.contains(want.shape())
-              ? Optional.empty()
-              : left.find(want.shape(), Set.of(), preferred);
-      if (found.isPresent()) {
-        left.takeMembers(found.get());
-        packing.add(want, found.get());
+    List<Used> wanted = new ArrayList<>(used);
+    unused.forEach(
+        (id, shapes) ->
+            shapes.forEach(shape -> wanted.add(new Used(new Owned(id, shape), List.of()))));
+    wanted.sort(Comparator.comparing((Used want) -> want.owned().shape(), BY_SIZE).reversed());
+    for (Used want : wanted) {
+      Optional<List<Member>> found = pack(want, left, clear);
+      if (found.isEmpty()) {
+        packing.addUnfit(want.owned());
+        continue;
+      }
+      left.takeMembers(found.get());
+      if (want.cells().isEmpty()) {
+        packing.add(want.owned(), found.get());
       } else {
-        tooLarge.add(want.shape());
-        packing.addUnfit(want);
+        packing.addUsed(found.get());
       }
     }
     return packing;
   }
 
+  private static Optional<List<Member>> pack(Used want, Room left, Room clear) {
+    Shape shape = want.owned().shape();
+    if (want.cells().isEmpty()) {
+      return left.find(shape, Set.of(), clear);
+    }
+    return left.findAround(shape, want.cells());
+  }
+
   /**
    * Returns whether a job of one shape can use room guaranteed for another.
    *
--- a/org.peridotroute/src/org/peridotroute/policy/Room.java
+++ b/org.peridotroute/src/org/peridotroute/policy/Room.java
@@ -168,6 +168,15 @@
     }
   }
 
+  /**
+   * Marks accelerators of a placement as free.
+   *
+   * @param members the placement
+   */
+  public void giveMembers(List<Member> members) {
+    members.forEach(member -> give(member.acceleratorIds()));
+  }
+
   /**
    * Takes all free accelerators of the racks that a placement touches.
    *
@@ -263,7 +272,29 @@
         bestLossMillis = loss;
       }
     }
-    return best == null ? Optional.empty() : Optional.of(place(best, shape, avoid, clear));
+    return best == null ? Optional.empty() : Optional.of(avoiding(avoid).place(best, shape, clear));
+  }
+
+  /**
+   * Finds room for a shape that may count on accelerators which its own job holds, using as many of
+   * these as it can.
+   *
+   * @param shape the shape
+   * @param cells the accelerators of its own job, which are not free here
+   * @return where each member goes, or empty if there is no room
+   */
+  public Optional<List<Member>> findAround(Shape shape, List<Member> cells) {
+    Room own = only(cells);
+    Room withOwn = copy();
+    withOwn.giveMembers(cells);
+    int[] best = null;
+    for (int[] group : layout.groups.get(shape.adjacency())) {
+      boolean nearer = best == null || own.free(group) > own.free(best);
+      if (nearer && withOwn.freeIfHolds(group, shape, Set.of()) >= 0) {
+        best = group;
+      }
+    }
+    return best == null ? Optional.empty() : Optional.of(withOwn.placeAround(best, shape, own));
   }
 
   /**
@@ -275,7 +306,7 @@
   public Optional<List<Member>> findFirst(Shape shape) {
     for (int[] group : layout.groups.get(shape.adjacency())) {
       if (freeIfHolds(group, shape, Set.of()) >= 0) {
-        return Optional.of(place(group, shape, Set.of(), this));
+        return Optional.of(place(group, shape, this));
       }
     }
     return Optional.empty();
@@ -298,7 +329,7 @@
         bestFree = free;
       }
     }
-    return best == null ? Optional.empty() : Optional.of(whole.place(best, shape, Set.of(), this));
+    return best == null ? Optional.empty() : Optional.of(whole.place(best, shape, this));
   }
 
   private int free(int[] group) {
@@ -334,27 +365,67 @@
     return avoided ? 0 : Long.bitCount(freeBits[worker]);
   }
 
-  private List<Member> place(int[] group, Shape shape, Set<WorkerId> avoid, Room clear) {
-    List<Integer> fullestFirst = new ArrayList<>(group.length);
-    for (int worker : group) {
-      fullestFirst.add(worker);
+  private Room avoiding(Set<WorkerId> avoid) {
+    if (avoid.isEmpty()) {
+      return this;
     }
-    fullestFirst.sort(Comparator.comparingInt(worker -> usable(worker, avoid)));
-    List<Member> members = new ArrayList<>(shape.members());
-    for (int worker : fullestFirst) {
-      int here = usable(worker, avoid) / shape.acceleratorsPerMember();
-      long bits = freeBits[worker];
-      for (int i = 0; i < here && members.size() < shape.members(); i++) {
-        List<Integer> indices = new ArrayList<>(shape.acceleratorsPerMember());
-        for (int k = 0; k < shape.acceleratorsPerMember(); k++) {
-          long liked = bits & clear.freeBits[worker];
-          int index = Long.numberOfTrailingZeros(liked != 0 ? liked : bits);
-          indices.add(index);
-          bits &= ~(1L << index);
-        }
-        members.add(new Member(layout.workers.get(worker).id(), indices));
+    Room rest = copy();
+    for (WorkerId id : avoid) {
+      Integer worker = layout.numbers.get(id);
+      if (worker != null) {
+        rest.freeBits[worker] = 0;
       }
     }
+    return rest;
+  }
+
+  /** Orders workers by their free accelerators, the fullest first. */
+  private Comparator<Integer> byFree() {
+    return Comparator.comparingInt(worker -> Long.bitCount(freeBits[worker]));
+  }
+
+  private List<Member> place(int[] group, Shape shape, Room clear) {
+    List<Member> members = new ArrayList<>(shape.members());
+    for (int worker : sorted(group, byFree())) {
+      int wanted = shape.members() - members.size();
+      placeOn(worker, wanted, shape, clear, members);
+    }
+    return members;
+  }
+
+  /** Places members first where each covers accelerators of its own job, then the rest. */
+  private List<Member> placeAround(int[] group, Shape shape, Room own) {
+    Room left = copy();
+    List<Member> members = new ArrayList<>(shape.members());
+    int size = shape.acceleratorsPerMember();
+    for (int worker : sorted(group, own.byFree().reversed())) {
+      int covering = (Long.bitCount(own.freeBits[worker]) + size - 1) / size;
+      int wanted = Math.min(covering, shape.members() - members.size());
+      left.placeOn(worker, wanted, shape, own, members);
+    }
+    left.takeMembers(members);
+    for (int worker : sorted(group, left.byFree())) {
+      left.placeOn(worker, shape.members() - members.size(), shape, own, members);
+    }
     return members;
   }
+
+  private void placeOn(int worker, int wanted, Shape shape, Room clear, List<Member> members) {
+    int here = Long.bitCount(freeBits[worker]) / shape.acceleratorsPerMember();
+    long bits = freeBits[worker];
+    for (int i = 0; i < Math.min(here, wanted); i++) {
+      List<Integer> indices = new ArrayList<>(shape.acceleratorsPerMember());
+      for (int k = 0; k < shape.acceleratorsPerMember(); k++) {
+        long liked = bits & clear.freeBits[worker];
+        int index = Long.numberOfTrailingZeros(liked != 0 ? liked : bits);
+        indices.add(index);
+        bits &= ~(1L << index);
+      }
+      members.add(new Member(layout.workers.get(worker).id(), indices));
+    }
+  }
+
+  private static List<Integer> sorted(int[] group, Comparator<Integer> order) {
+    return Arrays.stream(group).boxed().sorted(order).toList();
+  }
 }
