Bound what jobs keep in memory, and run small virtual machines

Cause: 20,000 open jobs of 32 KiB of payload would have filled any small VM's heap, and since the fold is the same everywhere, every VM's at once. And a process of default options took 245 MB at 1,104 workers.

--- a/org.peridotroute.bench/src/org/peridotroute/bench/ServeProcess.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/ServeProcess.java
@@ -12,7 +12,10 @@
  * one thread.
  */
 public final class ServeProcess {
-  private static final String DEFAULT_OPTIONS = "-XX:+UseSerialGC -Xmx256m -Xss512k";
+  private static final String DEFAULT_OPTIONS =
+      "-XX:+UseSerialGC -Xms8m -Xmx64m -Xss256k -XX:TieredStopAtLevel=1"
+          + " -XX:ReservedCodeCacheSize=24m -XX:MaxMetaspaceSize=56m"
+          + " -XX:MaxDirectMemorySize=8m -XX:MinHeapFreeRatio=10 -XX:MaxHeapFreeRatio=20";
   private static final String SETTINGS =
       """
       {
--- a/org.peridotroute.test/tst/org/peridotroute/fold/JobFoldTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/fold/JobFoldTest.java
@@ -148,6 +148,21 @@
     assertThat(JobFold.faults(state)).isEmpty();
   }
 
+  @Test
+  void refusesJobsWhosePayloadsWouldNotFitIntoMemory() {
+    String payload = "x".repeat(JobSpec.MAX_PAYLOAD_BYTES);
+    long fitting = JobFold.MAX_KEPT_CHARS / payload.length();
+    Shape shape = new Shape(1, 1, Adjacency.RACK);
+    JobSpec large = JobSpec.newBuilder(shape).setPayload(payload).build();
+    for (int i = 0; i < fitting; i++) {
+      JobKey key = JobKey.of("le-goff", "job-" + i);
+      assertThat(fold(new LogRecord.JobSubmitted(key, large, "r"))).isEqualTo(Verdict.ACCEPTED);
+    }
+    assertThat(fold(new LogRecord.JobSubmitted(OTHER, large, "r"))).isEqualTo(Verdict.FULL);
+    fold(new LogRecord.CancelRequested(JobKey.of("le-goff", "job-0"), "r"));
+    assertThat(fold(new LogRecord.JobSubmitted(OTHER, large, "r"))).isEqualTo(Verdict.ACCEPTED);
+  }
+
   private long claim() {
     fold(new LogRecord.PlannerClaimed(new VmId("vm-1"), state.epoch()));
     return state.epoch();
--- a/org.peridotroute/src/org/peridotroute/fold/JobFold.java
+++ b/org.peridotroute/src/org/peridotroute/fold/JobFold.java
@@ -32,8 +32,8 @@
   /** Ended jobs kept for callers to fetch. */
   public static final int MAX_ENDED_JOBS = 4_000;
 
-  /** Characters of answers kept for callers to fetch. */
-  public static final long MAX_ANSWER_CHARS = 12L * 1024 * 1024;
+  /** Characters of payloads and answers kept. Ended jobs make room for new ones. */
+  public static final long MAX_KEPT_CHARS = 8L * 1024 * 1024;
 
   private JobFold() {}
 
@@ -99,7 +99,8 @@
       return new Folded<>(state, Verdict.FULL);
     }
     Job job = Job.submitted(record.job(), record.spec(), state.offset(), timeMillis);
-    return accepted(state.withJob(job));
+    JobState next = evict(state.withJob(job));
+    return next.keptChars() > MAX_KEPT_CHARS ? new Folded<>(state, Verdict.FULL) : accepted(next);
   }
 
   private static Folded<JobState> cancel(JobState state, LogRecord.CancelRequested record) {
@@ -283,11 +284,16 @@
 
   private static Folded<JobState> finish(JobState state, Job job, Job.Change change) {
     JobState next = job.token() == 0 ? state : state.withReleasing(job.token());
-    next = next.withJob(change.done());
-    while (next.ended().size() > MAX_ENDED_JOBS || next.answerChars() > MAX_ANSWER_CHARS) {
+    return accepted(evict(next.withJob(change.done())));
+  }
+
+  private static JobState evict(JobState state) {
+    JobState next = state;
+    while (next.ended().size() > MAX_ENDED_JOBS
+        || (next.keptChars() > MAX_KEPT_CHARS && !next.ended().isEmpty())) {
       next = next.withoutOldestEnded();
     }
-    return accepted(next);
+    return next;
   }
 
   private static Folded<JobState> accepted(JobState state) {
--- a/org.peridotroute/src/org/peridotroute/fold/JobState.java
+++ b/org.peridotroute/src/org/peridotroute/fold/JobState.java
@@ -15,7 +15,7 @@
  * @param allocations held accelerators by attempt token
  * @param holders attempt token by held accelerator
  * @param ended keys of ended jobs by the offset at which they ended
- * @param answerChars characters of the answers kept
+ * @param keptChars characters of the payloads and answers kept
  * @param writers how far each writer has come
  */
 public record JobState(
@@ -25,7 +25,7 @@
     TreePMap<Long, Allocation> allocations,
     TreePMap<AcceleratorId, Long> holders,
     TreePMap<Long, JobKey> ended,
-    long answerChars,
+    long keptChars,
     Writers writers) {
   /** The state before the first record. */
   public static final JobState EMPTY =
@@ -61,28 +61,25 @@
 
   JobState at(long nextOffset, Writers nextWriters) {
     return new JobState(
-        nextOffset, planner, jobs, allocations, holders, ended, answerChars, nextWriters);
+        nextOffset, planner, jobs, allocations, holders, ended, keptChars, nextWriters);
   }
 
   JobState withPlanner(PlannerClaim claim) {
-    return new JobState(offset, claim, jobs, allocations, holders, ended, answerChars, writers);
+    return new JobState(offset, claim, jobs, allocations, holders, ended, keptChars, writers);
   }
 
   /** Returns the state with a job added or changed, and counted as ended if it is. */
   JobState withJob(Job job) {
-    TreePMap<JobKey, Job> nextJobs = jobs.plus(job.key(), job);
-    if (!job.isEnded()) {
-      return new JobState(
-          offset, planner, nextJobs, allocations, holders, ended, answerChars, writers);
-    }
+    Job before = jobs.get(job.key());
+    long chars = keptChars + chars(job) - (before == null ? 0 : chars(before));
     return new JobState(
         offset,
         planner,
-        nextJobs,
+        jobs.plus(job.key(), job),
         allocations,
         holders,
-        ended.plus(job.revision(), job.key()),
-        answerChars + chars(job),
+        job.isEnded() ? ended.plus(job.revision(), job.key()) : ended,
+        chars,
         writers);
   }
 
@@ -96,7 +93,7 @@
         allocations,
         holders,
         ended.minus(oldest),
-        answerChars - chars(jobs.get(key)),
+        keptChars - chars(jobs.get(key)),
         writers);
   }
 
@@ -126,10 +123,17 @@
   private JobState withAllocations(
       TreePMap<Long, Allocation> nextAllocations, TreePMap<AcceleratorId, Long> nextHolders) {
     return new JobState(
-        offset, planner, jobs, nextAllocations, nextHolders, ended, answerChars, writers);
+        offset, planner, jobs, nextAllocations, nextHolders, ended, keptChars, writers);
   }
 
-  private static long chars(Job job) {
-    return job.answer() == null ? 0 : job.answer().body().length();
+  /**
+   * Returns the characters that a job keeps in memory.
+   *
+   * @param job the job
+   * @return those of its payload and of its answer
+   */
+  public static long chars(Job job) {
+    long answer = job.answer() == null ? 0 : job.answer().body().length();
+    return job.spec().payload().length() + answer;
   }
 }
--- a/org.peridotroute/src/org/peridotroute/snapshot/SnapshotDocument.java
+++ b/org.peridotroute/src/org/peridotroute/snapshot/SnapshotDocument.java
@@ -60,12 +60,12 @@
   Snapshot toSnapshot() {
     TreePMap<JobKey, Job> jobsByKey = TreePMap.empty();
     TreePMap<Long, JobKey> ended = TreePMap.empty();
-    long answerChars = 0;
+    long keptChars = 0;
     for (Job job : jobs) {
       jobsByKey = jobsByKey.plus(job.key(), job);
+      keptChars += JobState.chars(job);
       if (job.isEnded()) {
         ended = ended.plus(job.revision(), job.key());
-        answerChars += job.answer() == null ? 0 : job.answer().body().length();
       }
     }
     TreePMap<Long, Allocation> byToken = TreePMap.empty();
@@ -84,7 +84,7 @@
             byToken,
             holders,
             ended,
-            answerChars,
+            keptChars,
             load(journalWriters));
     return new Snapshot(state, config());
   }
