Judge nothing before the state is there

Cause: a VM that had not read the list yet refused jobs as impossible, since it knew of no worker. Readiness is checked before anything else now.

--- a/org.peridotroute.http/src/org/peridotroute/http/HttpReply.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/HttpReply.java
@@ -13,6 +13,15 @@
   /** Status of an answer about something that was made. */
   public static final int CREATED = 201;
 
+  /** Status of an answer about something that is not there. */
+  public static final int NOT_FOUND = 404;
+
+  /** Status of an answer about something that is there no more. */
+  public static final int GONE = 410;
+
+  /** Status of an answer from a server that cannot serve at present. */
+  public static final int UNAVAILABLE = 503;
+
   /**
    * Makes an answer with status 200.
    *
--- a/org.peridotroute.pgm.test/tst/org/peridotroute/pgm/FailureTest.java
+++ b/org.peridotroute.pgm.test/tst/org/peridotroute/pgm/FailureTest.java
@@ -14,7 +14,9 @@
 import org.peridotroute.http.Json;
 import org.peridotroute.lib.JobKey;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.server.EntryVm;
 import org.peridotroute.server.api.ErrorBody;
+import org.peridotroute.server.settings.SettingsReader;
 import org.peridotroute.server.view.JobView;
 import org.peridotroute.standin.Faults;
 import org.peridotroute.standin.TaskRun;
@@ -57,6 +59,30 @@
     assertThat(call("PUT", job, spec(1, "")).status()).isEqualTo(201);
   }
 
+  @Test
+  void vmWithoutStateSaysThatItIsNotReadyAndJudgesNothing() throws Exception {
+    String settings =
+        """
+        {"vm": {"id": "vm-9", "place": "quimper"}, "api": {"port": 0, "leaveMillis": 0},
+         "peer": {"port": 0}, "platform": {"url": "http://127.0.0.1:1"}}
+        """;
+    EntryVm empty = new EntryVm(SettingsReader.parse("settings", settings));
+    empty.start();
+    String url = empty.url() + "/v1/organisations/le-goff/jobs/j";
+    HttpReply reply = caller.call("PUT", url, spec(64, ""), CALL_MILLIS).get();
+    assertThat(code(reply)).isEqualTo("not_ready");
+    empty.stop();
+  }
+
+  @Test
+  void guaranteesThatDoNotFitTogetherAreRefused() throws Exception {
+    String tooMuch = ORGANISATION.replace("\"count\":1", "\"count\":4");
+    assertThat(code(call("PUT", "/v1/organisations/honesty-till", tooMuch)))
+        .isEqualTo("guarantee_does_not_fit");
+    String fitting = ORGANISATION.replace("\"count\":1", "\"count\":3");
+    assertThat(call("PUT", "/v1/organisations/honesty-till", fitting).status()).isEqualTo(200);
+  }
+
   @Test
   void appendWhoseAnswerIsLostCountsOnce() throws Exception {
     cluster.platform().apply(faults(null, 3));
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/DevCommand.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/DevCommand.java
@@ -2,6 +2,7 @@
 
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
+import java.nio.file.Path;
 
 /** Runs one process with a stand-in platform, so that the main job can be tried at once. */
 @Command(name = "dev", description = "run one process with a stand-in platform, for trials")
@@ -24,9 +25,13 @@
     return ServeCommand.awaitStop(cluster.vm(0));
   }
 
+  private static String examples() {
+    return Path.of(System.getProperty("peridotroute.home", "."), "examples", "dev").toString();
+  }
+
   private static int runMainJob(Console console, DevCluster cluster) {
     String url = cluster.url(0);
-    int applied = PeridotctlMain.run(console, "apply", "--url", url, "-f", "examples/dev");
+    int applied = PeridotctlMain.run(console, "apply", "--url", url, "-f", examples());
     if (applied != ExitCode.OK) {
       return applied;
     }
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/ManifestCommand.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/ManifestCommand.java
@@ -9,8 +9,6 @@
 
 /** Base of commands that compare declarations with what is in force. */
 public abstract class ManifestCommand extends ApiCommand {
-  private static final int NOT_FOUND = 404;
-
   @Option(
       name = {"-f", "--file"},
       description = "file of declarations, or a folder of such files")
@@ -47,7 +45,7 @@
   private static OrganisationView find(ApiClient client, Manifest.Declaration declaration)
       throws CommandException {
     HttpReply reply = client.reply("GET", path(declaration), null);
-    if (reply.status() == NOT_FOUND) {
+    if (reply.status() == HttpReply.NOT_FOUND) {
       return null;
     }
     if (!reply.isOk()) {
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/ServeCommand.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/ServeCommand.java
@@ -11,6 +11,8 @@
 /** Runs the process until it is told to stop. */
 @Command(name = "serve", description = "run the process on an entry VM")
 public final class ServeCommand implements ConsoleCommand {
+  private static final System.Logger LOGGER = System.getLogger(ServeCommand.class.getName());
+
   @Option(name = "--settings", description = "file of settings, JSON with comments")
   @Required
   private String file;
@@ -39,7 +41,7 @@
         vm.brokenInvariant()
             .thenAccept(
                 cause -> {
-                  cause.printStackTrace();
+                  LOGGER.log(System.Logger.Level.ERROR, "broken-invariant", cause);
                   Runtime.getRuntime().halt(ExitCode.REFUSED);
                 });
     stopped.await();
--- a/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/EntryVm.java
@@ -318,7 +318,8 @@
 
   private HttpReply healthReply() {
     List<String> reasons = health.reasons();
-    return new HttpReply(reasons.isEmpty() ? HttpReply.OK : 503, Json.write(reasons));
+    return new HttpReply(
+        reasons.isEmpty() ? HttpReply.OK : HttpReply.UNAVAILABLE, Json.write(reasons));
   }
 
   private void addMetrics() {
--- a/org.peridotroute.server/src/org/peridotroute/server/api/Committer.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/Committer.java
@@ -33,6 +33,17 @@
     this.timeoutMillis = timeoutMillis;
   }
 
+  /**
+   * Checks that the process has its state, without which nothing can be said about a change.
+   *
+   * @throws ApiException if it has not
+   */
+  public void requireReady() throws ApiException {
+    if (!health.canAct()) {
+      throw new ApiException(ErrorCode.NOT_READY, "not ready: " + health.reasons());
+    }
+  }
+
   /**
    * Proposes a change.
    *
@@ -41,9 +52,7 @@
    * @throws ApiException if the change was certainly not sent, or if its outcome is unknown
    */
   public Verdict commit(LogRecord record) throws ApiException {
-    if (!health.canAct()) {
-      throw new ApiException(ErrorCode.NOT_READY, "not ready: " + health.reasons());
-    }
+    requireReady();
     if (writer.isStalled(health.logSilentMillis())) {
       throw new ApiException(
           ErrorCode.LOG_UNAVAILABLE, "the log takes nothing at present; nothing was sent");
--- a/org.peridotroute.server/src/org/peridotroute/server/api/JobResource.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/JobResource.java
@@ -67,6 +67,7 @@
   private HttpReply put(HttpRequest request) throws Exception {
     JobKey key = Parameters.job(request);
     JobSpec spec = Json.read(request.body(), JobSpec.class);
+    committer.requireReady();
     Job known = state.jobs().jobs().get(key);
     if (known == null) {
       checkCanEverRun(key, spec);
--- a/org.peridotroute.server/src/org/peridotroute/server/api/OrganisationResource.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/OrganisationResource.java
@@ -58,6 +58,7 @@
   private HttpReply put(HttpRequest request) throws Exception {
     OrganisationId id = Parameters.organisation(request);
     Organisation organisation = Json.read(request.body(), Organisation.class);
+    committer.requireReady();
     checkGuaranteesFit(id, organisation);
     long expected = expectedRevision(request, id);
     Verdict verdict = committer.commit(new LogRecord.OrganisationPut(id, organisation, expected));
--- a/org.peridotroute.server/src/org/peridotroute/server/client/HttpLogClient.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/client/HttpLogClient.java
@@ -17,8 +17,6 @@
 
 /** The platform's log over HTTP. Safe for use by several threads. */
 public final class HttpLogClient implements LogClient {
-  private static final int GONE = 410;
-
   private final HttpCaller caller;
   private final String url;
   private final long timeoutMillis;
@@ -52,7 +50,7 @@
         .call("GET", recordsUrl(stream) + query, null, waitMillis + timeoutMillis)
         .handle(
             (reply, failure) -> {
-              if (failure == null && reply.status() == GONE) {
+              if (failure == null && reply.status() == HttpReply.GONE) {
                 long earliest = parse(reply.body(), ExpiredReply.class).earliestOffset();
                 throw new RecordsExpiredException(stream, fromOffset, earliest);
               }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
@@ -182,14 +182,14 @@
       }
       return HttpReply.ok(page);
     } catch (RecordsExpiredException e) {
-      return new HttpReply(410, Json.write(new ExpiredReply(e.earliestOffset())));
+      return new HttpReply(HttpReply.GONE, Json.write(new ExpiredReply(e.earliestOffset())));
     }
   }
 
   private HttpReply tasks(HttpRequest request) throws Exception {
     WorkerStandIn worker = workers.get(new WorkerId(request.parameter("worker")));
     if (worker == null || silentWorkers.contains(request.parameter("worker"))) {
-      return new HttpReply(503, Json.write("no such worker, or it is silent"));
+      return new HttpReply(HttpReply.UNAVAILABLE, Json.write("no such worker, or it is silent"));
     }
     List<TaskReport> reports = new ArrayList<>();
     for (TaskCommand command : Json.read(request.body(), CommandBatch.class).commands()) {
@@ -201,7 +201,7 @@
   private HttpReply runs(HttpRequest request) {
     WorkerStandIn worker = workers.get(new WorkerId(request.parameter("worker")));
     return worker == null
-        ? new HttpReply(404, Json.write("no such worker"))
+        ? new HttpReply(HttpReply.NOT_FOUND, Json.write("no such worker"))
         : HttpReply.ok(worker.runs());
   }
 
@@ -291,7 +291,9 @@
         .call("GET", vm.url() + "/v1/health", null, PROBE_MILLIS)
         .handle(
             (reply, failure) -> {
-              if (failure != null || (reply.status() == 503 && !reply.body().contains("leaving"))) {
+              if (failure != null
+                  || (reply.status() == HttpReply.UNAVAILABLE
+                      && !reply.body().contains("leaving"))) {
                 return null;
               }
               return new VmInfo(vm.id(), vm.place(), !reply.isOk(), vm.url(), vm.peer());
