--- a/org.peridotroute.bench/src/org/peridotroute/bench/policy/Workload.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/policy/Workload.java
@@ -99,6 +99,20 @@
     };
   }
 
+  /**
+   * Generates a backlog of jobs of the target's kinds.
+   *
+   * @param seed the seed
+   * @param workerCount how many workers
+   * @param jobCount how many jobs
+   * @return the workload
+   */
+  public static Workload backlog(long seed, int workerCount, int jobCount) {
+    int organisations = Math.max(4, workerCount * 130 / 1_100);
+    SplittableRandom random = new SplittableRandom(seed);
+    return generate("backlog", random, jobCount, workerCount, organisations, TARGET);
+  }
+
   private static Workload generate(
       String name,
       SplittableRandom random,
