Let the stand-in pause, lose answers and go silent

Cause: three faults that the platform's stand-in should be told to have were missing. A worker can now be paused, lose its answers, or carry the next calls out and never answer them; a test shows that such connections are replaced and that every member still runs once.

--- a/org.peridotroute.pgm.test/tst/org/peridotroute/pgm/FailureTest.java
+++ b/org.peridotroute.pgm.test/tst/org/peridotroute/pgm/FailureTest.java
@@ -85,24 +85,35 @@
 
   @Test
   void appendWhoseAnswerIsLostCountsOnce() throws Exception {
-    cluster.platform().apply(faults(null, 3));
+    cluster.platform().apply(Faults.ofLog(null, 3));
     String job = "/v1/organisations/le-goff/jobs/once";
     assertThat(call("PUT", job, spec(2, "echo=x")).status()).isEqualTo(201);
     awaitPhase("once", JobPhase.ENDED);
     assertThat(runs("once")).hasSize(2);
   }
 
+  @Test
+  void connectionsThatGoSilentAreReplaced() throws Exception {
+    cluster.platform().apply(Faults.ofSilentCalls(2));
+    String job = "/v1/organisations/le-goff/jobs/silent";
+    assertThat(call("PUT", job, spec(16, "echo=x")).status()).isEqualTo(201);
+    awaitPhase("silent", JobPhase.ENDED);
+    JobView ended = Json.read(call("GET", job, null).body(), JobView.class);
+    assertThat(ended.outcome().name()).isEqualTo("SUCCEEDED");
+    assertThat(runs("silent")).hasSize(16);
+  }
+
   @Test
   void logOutageRefusesNewJobsAsNotRunAndKeepsRunningOnes() throws Exception {
     String running = "/v1/organisations/le-goff/jobs/running";
     assertThat(call("PUT", running, spec(4, "run=2500 echo=x")).status()).isEqualTo(201);
     awaitPhase("running", JobPhase.RUNNING);
-    cluster.platform().apply(faults(true, null));
+    cluster.platform().apply(Faults.ofLog(true, null));
     HttpReply refused = awaitRefusal();
     ErrorBody error = Json.read(refused.body(), ErrorBody.class);
     assertThat(error.effect()).isEqualTo("none");
     assertThat(error.repeat()).isTrue();
-    cluster.platform().apply(faults(false, null));
+    cluster.platform().apply(Faults.ofLog(false, null));
     awaitPhase("running", JobPhase.ENDED);
     JobView ended = Json.read(call("GET", running, null).body(), JobView.class);
     assertThat(ended.outcome().name()).isEqualTo("SUCCEEDED");
@@ -187,8 +198,4 @@
     return "{\"shape\":{\"members\":%d,\"acceleratorsPerMember\":1},\"idempotent\":true,\"payload\":\"%s\"}"
         .formatted(members, payload);
   }
-
-  private static Faults faults(Boolean logDown, Integer loseAnswers) {
-    return new Faults(logDown, null, loseAnswers, null, null, null, null, null, null);
-  }
 }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/PlatformStandIn.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.peridotroute.control.TaskCommand;
 import org.peridotroute.control.TaskReport;
 import org.peridotroute.errors.RecordsExpiredException;
@@ -45,6 +46,8 @@
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
   private static final long PROBE_MILLIS = 500;
   private static final int MAX_LISTINGS = 256;
+  private static final long SILENT_MILLIS = 4_000;
+  private static final long PAUSE_POLL_MILLIS = 20;
   private static final long DRAIN_MILLIS = 200;
 
   private final LogStandIn log = new LogStandIn();
@@ -56,6 +59,9 @@
       Executors.newSingleThreadScheduledExecutor(PlatformStandIn::daemon);
   private final Set<String> silentWorkers = ConcurrentHashMap.newKeySet();
   private final Set<String> leavingWorkers = ConcurrentHashMap.newKeySet();
+  private final Set<String> pausedWorkers = ConcurrentHashMap.newKeySet();
+  private final Set<String> answerlessWorkers = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger silentCalls = new AtomicInteger();
   private final Deque<Listing> listings = new ArrayDeque<>();
   private volatile long logDelayMillis;
   private volatile long listLagMillis;
@@ -188,6 +194,7 @@
 
   private HttpReply tasks(HttpRequest request) throws Exception {
     WorkerStandIn worker = workers.get(new WorkerId(request.parameter("worker")));
+    awaitHealed(request.parameter("worker"));
     if (worker == null || silentWorkers.contains(request.parameter("worker"))) {
       return new HttpReply(HttpReply.UNAVAILABLE, Json.write("no such worker, or it is silent"));
     }
@@ -195,9 +202,21 @@
     for (TaskCommand command : Json.read(request.body(), CommandBatch.class).commands()) {
       reports.add(worker.handle(command, nowMillis()));
     }
+    if (silentCalls.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+      Thread.sleep(SILENT_MILLIS);
+    }
+    if (answerlessWorkers.contains(request.parameter("worker"))) {
+      return new HttpReply(HttpReply.UNAVAILABLE, Json.write("the answer was lost"));
+    }
     return HttpReply.ok(ReportBatch.of(reports));
   }
 
+  private void awaitHealed(String worker) throws InterruptedException {
+    while (pausedWorkers.contains(worker)) {
+      Thread.sleep(PAUSE_POLL_MILLIS);
+    }
+  }
+
   private HttpReply runs(HttpRequest request) {
     WorkerStandIn worker = workers.get(new WorkerId(request.parameter("worker")));
     return worker == null
@@ -242,6 +261,15 @@
     if (faults.silentWorker() != null) {
       silentWorkers.add(faults.silentWorker());
     }
+    if (faults.pausedWorker() != null) {
+      pausedWorkers.add(faults.pausedWorker());
+    }
+    if (faults.answerlessWorker() != null) {
+      answerlessWorkers.add(faults.answerlessWorker());
+    }
+    if (faults.silentCalls() != null) {
+      silentCalls.set(faults.silentCalls());
+    }
     if (faults.leavingWorker() != null) {
       leavingWorkers.add(faults.leavingWorker());
     }
@@ -249,6 +277,8 @@
       workers.get(new WorkerId(faults.healedWorker())).setFailingAll(false);
       silentWorkers.remove(faults.healedWorker());
       leavingWorkers.remove(faults.healedWorker());
+      pausedWorkers.remove(faults.healedWorker());
+      answerlessWorkers.remove(faults.healedWorker());
     }
   }
 
