Import names instead of spelling them out

Cause: seven places named classes by their full path, and the message for an unreadable settings file began with a dangling '$.'.

--- a/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzWorld.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/fuzz/FuzzWorld.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import org.peridotroute.fold.Folded;
 import org.peridotroute.fold.JobFold;
 import org.peridotroute.fold.JobPhase;
@@ -14,6 +15,7 @@
 import org.peridotroute.journal.LogEntry;
 import org.peridotroute.journal.LogRecord;
 import org.peridotroute.lib.Adjacency;
+import org.peridotroute.lib.Directory;
 import org.peridotroute.lib.GuaranteedShape;
 import org.peridotroute.lib.Incarnation;
 import org.peridotroute.lib.JobClass;
@@ -282,7 +284,7 @@
                         leaving.get(info.id()),
                         ""))
             .toList();
-    vm.see(new org.peridotroute.lib.Directory(infos, described));
+    vm.see(new Directory(infos, described));
   }
 
   /** Lets everything that is well do its work for a while, with no new fault. */
@@ -522,7 +524,7 @@
     }
   }
 
-  private void await(java.util.function.BooleanSupplier condition) {
+  private void await(BooleanSupplier condition) {
     long untilMillis = clock.nowMillis() + RECLAIM_BOUND_MILLIS;
     while (clock.nowMillis() < untilMillis && !condition.getAsBoolean()) {
       settleStep();
--- a/org.peridotroute.bench/src/org/peridotroute/bench/policy/Replay.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/policy/Replay.java
@@ -22,6 +22,8 @@
 import org.peridotroute.lib.Directory;
 import org.peridotroute.lib.Incarnation;
 import org.peridotroute.lib.JobKey;
+import org.peridotroute.lib.Organisation;
+import org.peridotroute.lib.OrganisationId;
 import org.peridotroute.lib.VmId;
 import org.peridotroute.policy.ClusterView;
 import org.peridotroute.policy.Decision;
@@ -77,8 +79,7 @@
     return figures;
   }
 
-  private void declare(
-      org.peridotroute.lib.OrganisationId id, org.peridotroute.lib.Organisation organisation) {
+  private void declare(OrganisationId id, Organisation organisation) {
     LogRecord record = new LogRecord.OrganisationPut(id, organisation, 0);
     config = ConfigFold.fold(config, entry(config.offset() + 1, record)).state();
   }
--- a/org.peridotroute.server/src/org/peridotroute/server/api/PeerResource.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/api/PeerResource.java
@@ -1,6 +1,7 @@
 package org.peridotroute.server.api;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -41,7 +42,7 @@
     List<PeerView> views = new ArrayList<>();
     views.add(view(own, false, 0));
     peers.heard().values().forEach(heard -> views.add(view(heard)));
-    views.sort(java.util.Comparator.comparing(PeerView::vm));
+    views.sort(Comparator.comparing(PeerView::vm));
     return HttpReply.ok(new Page<>(views, own.getJournalOffset(), null));
   }
 
--- a/org.peridotroute.server/src/org/peridotroute/server/ring/DutyRing.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/ring/DutyRing.java
@@ -5,6 +5,7 @@
 import com.lmax.disruptor.InsufficientCapacityException;
 import com.lmax.disruptor.RingBuffer;
 import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
+import com.lmax.disruptor.TimeoutException;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import java.util.concurrent.TimeUnit;
@@ -73,7 +74,7 @@
   public void stop() {
     try {
       disruptor.shutdown(STOP_MILLIS, TimeUnit.MILLISECONDS);
-    } catch (com.lmax.disruptor.TimeoutException e) {
+    } catch (TimeoutException e) {
       disruptor.halt();
     }
   }
--- a/org.peridotroute.server/src/org/peridotroute/server/service/StreamReader.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/StreamReader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import java.util.function.Consumer;
 import org.peridotroute.errors.RecordFormatException;
 import org.peridotroute.errors.RecordsExpiredException;
@@ -110,7 +111,7 @@
         halt(e.getMessage());
       } catch (InterruptedException e) {
         return;
-      } catch (java.util.concurrent.ExecutionException | CompletionException e) {
+      } catch (ExecutionException | CompletionException e) {
         onFailure(e.getCause());
       }
     }
--- a/org.peridotroute.server/src/org/peridotroute/server/settings/SettingsFault.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/settings/SettingsFault.java
@@ -11,6 +11,7 @@
 public record SettingsFault(String file, String path, String value, String allowed) {
   @Override
   public String toString() {
-    return "%s: $.%s is %s; allowed is %s".formatted(file, path, value, allowed);
+    String place = path.isEmpty() ? "$" : "$." + path;
+    return "%s: %s is %s; allowed is %s".formatted(file, place, value, allowed);
   }
 }
--- a/org.peridotroute/src/org/peridotroute/lib/Shape.java
+++ b/org.peridotroute/src/org/peridotroute/lib/Shape.java
@@ -1,5 +1,7 @@
 package org.peridotroute.lib;
 
+import java.util.Locale;
+
 /**
  * Shape of a gang: members, accelerators of each, and how near the members must be.
  *
@@ -29,10 +31,6 @@
 
   @Override
   public String toString() {
-    return members
-        + "x"
-        + acceleratorsPerMember
-        + "/"
-        + adjacency.name().toLowerCase(java.util.Locale.ROOT);
+    return members + "x" + acceleratorsPerMember + "/" + adjacency.name().toLowerCase(Locale.ROOT);
   }
 }
