--- a/org.peridotroute.bench/src/org/peridotroute/bench/BenchCluster.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/BenchCluster.java
@@ -4,8 +4,8 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.peridotroute.http.HttpCaller;
@@ -28,7 +28,7 @@
   private final PlatformStandIn platform;
   private final Path jar;
   private final Path folder;
-  private final List<ServeProcess> vms = new ArrayList<>();
+  private final List<ServeProcess> vms = new CopyOnWriteArrayList<>();
 
   /**
    * Starts a platform.
@@ -45,6 +45,7 @@
         PlatformStandIn.newBuilder(0).setRacks(racks).setWorkersPerRack(workersPerRack).build();
     platform.start();
     caller.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killAll, "kill-vms"));
   }
 
   /** Returns the platform. */
@@ -118,10 +119,22 @@
     for (ServeProcess vm : vms) {
       vm.kill();
     }
+    vms.clear();
     platform.stop();
     caller.stop();
   }
 
+  /** Leaves no process behind when the bench itself is ended early. */
+  private void killAll() {
+    try {
+      for (ServeProcess vm : vms) {
+        vm.kill();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0)) {
       return socket.getLocalPort();
