--- a/org.peridotroute.bench/src/org/peridotroute/bench/BenchCluster.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/BenchCluster.java
@@ -45,7 +45,7 @@
         PlatformStandIn.newBuilder(0).setRacks(racks).setWorkersPerRack(workersPerRack).build();
     platform.start();
     caller.start();
-    Runtime.getRuntime().addShutdownHook(new Thread(this::killAll, "kill-vms"));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::onShutdown, "kill-vms"));
   }
 
   /** Returns the platform. */
@@ -116,20 +116,22 @@
    * @throws InterruptedException if interrupted while waiting
    */
   public void stop() throws InterruptedException {
-    for (ServeProcess vm : vms) {
-      vm.kill();
-    }
+    killAll();
     vms.clear();
     platform.stop();
     caller.stop();
   }
 
+  private void killAll() throws InterruptedException {
+    for (ServeProcess vm : vms) {
+      vm.kill();
+    }
+  }
+
   /** Leaves no process behind when the bench itself is ended early. */
-  private void killAll() {
+  private void onShutdown() {
     try {
-      for (ServeProcess vm : vms) {
-        vm.kill();
-      }
+      killAll();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/org.peridotroute.server/src/org/peridotroute/server/service/SnapshotService.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/service/SnapshotService.java
@@ -86,7 +86,7 @@
   }
 
   private void write() throws InterruptedException {
-    Snapshot snapshot = new Snapshot(state.jobs(), state.config());
+    Snapshot snapshot = state.snapshot();
     long offset = snapshot.jobs().offset();
     lastMillis = nowMillis();
     try {
