--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
@@ -31,6 +31,7 @@
  */
 public final class Node {
   private static final String CONFIGURATION_KEY = "config";
+  private static final long NEVER = Long.MIN_VALUE;
 
   /** Decodes what operators and workers write. */
   public interface Decoder {
@@ -68,7 +69,7 @@
   private final TopicFollower workers;
   private final PlannerRole role;
   private volatile Configuration configuration;
-  private volatile long currentAsOfMillis = Long.MIN_VALUE;
+  private volatile long currentAsOfMillis = NEVER;
   private volatile boolean leaving;
   private volatile boolean refusing;
   private volatile Dispatcher dispatcher;
@@ -136,12 +137,18 @@
             : requests.currentAsOfMillis();
     if (dispatcher != null) {
       dispatcher.step();
+    } else if (mayPlan() && progress.isLoaded()) {
+      role.claimIfLeft(progress.nextOffset(), this::elected);
     }
   }
 
+  private boolean mayPlan() {
+    return !leaving && configuration != null && requests.isLoaded();
+  }
+
   /** Returns whether the VM can serve. Any thread. */
   public boolean isReady() {
-    return !leaving && configuration != null && !refusing && currentAsOfMillis > Long.MIN_VALUE;
+    return !leaving && configuration != null && !refusing && currentAsOfMillis != NEVER;
   }
 
   /** Returns the configuration in force, null before the first. Any thread. */
@@ -209,7 +216,8 @@
 
   /** Returns whether what is known is fresh enough to deny that a job exists. Any thread. */
   public boolean isCurrent() {
-    return time.steadyMillis() - currentAsOfMillis <= settings.staleMillis();
+    long asOf = currentAsOfMillis;
+    return asOf != NEVER && time.steadyMillis() - asOf <= settings.staleMillis();
   }
 
   /**
@@ -347,10 +355,9 @@
 
     @Override
     public void onRead(boolean empty, long sentMillis, long endOffset) {
-      if (leaving || dispatcher != null || configuration == null || !requests.isLoaded()) {
-        return;
+      if (dispatcher == null && mayPlan()) {
+        role.claimIfSilent(empty, sentMillis, endOffset, progress.nextOffset(), Node.this::elected);
       }
-      role.claimIfVacant(empty, sentMillis, endOffset, progress.nextOffset(), Node.this::elected);
     }
   }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/PlannerRole.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/PlannerRole.java
@@ -67,16 +67,29 @@
     lastSignMillis = time.steadyMillis();
   }
 
-  /** Claims the role if a read has shown that nobody holds it. */
-  void claimIfVacant(
+  /**
+   * Claims the role if nobody holds it: there was no planner yet, it has laid the role down, or it
+   * was a former life of this VM.
+   */
+  void claimIfLeft(long readTo, Consumer<Term> onElected) {
+    if (mayClaim() && isLeft()) {
+      claim(readTo, onElected);
+    }
+  }
+
+  /** Claims the role if a read has shown that its planner has been silent for too long. */
+  void claimIfSilent(
       boolean empty, long sentMillis, long endOffset, long readTo, Consumer<Term> onElected) {
-    long now = time.steadyMillis();
-    if (claiming
-        || now < pausedUntilMillis
-        || endOffset != readTo
-        || !isVacant(empty, sentMillis)) {
-      return;
+    if (mayClaim() && endOffset == readTo && (isLeft() || (empty && isSilent(sentMillis)))) {
+      claim(endOffset, onElected);
     }
+  }
+
+  private boolean mayClaim() {
+    return !claiming && time.steadyMillis() >= pausedUntilMillis;
+  }
+
+  private void claim(long endOffset, Consumer<Term> onElected) {
     claiming = true;
     Term term =
         new Term(
@@ -91,7 +104,7 @@
         "former",
         last == null ? "none" : last.term().holder(),
         "silentMillis",
-        now - lastSignMillis);
+        time.steadyMillis() - lastSignMillis);
     Answers.take(
         log.append(
             Topic.PROGRESS,
@@ -107,18 +120,19 @@
     return Math.floorMod(incarnation.hashCode() * SPREAD, SEQUENCE_RANGE);
   }
 
-  private boolean isVacant(boolean empty, long sentMillis) {
+  private boolean isLeft() {
     if (last == null || last.resigned()) {
       return true;
     }
     boolean mine = last.term().holder().equals(settings.vm());
-    boolean dead = mine && !last.term().incarnation().equals(settings.incarnation());
+    return mine && !last.term().incarnation().equals(settings.incarnation());
+  }
+
+  private boolean isSilent(long sentMillis) {
     long silent = time.steadyMillis() - lastSignMillis;
     long before = sentMillis - lastSignMillis;
-    return dead
-        || (empty
-            && silent >= settings.silenceMillis()
-            && before >= settings.silenceMillis() * QUIET_BEFORE_READ);
+    return silent >= settings.silenceMillis()
+        && before >= settings.silenceMillis() * QUIET_BEFORE_READ;
   }
 
   private void claimed(Term term, KeyedLog.AppendReply reply, Consumer<Term> onElected) {
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/World.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/World.java
@@ -534,6 +534,11 @@
     return vms.get(name).node.isReady();
   }
 
+  /** Returns whether a VM would deny that a job exists which it does not know. */
+  public boolean isCurrent(String name) {
+    return vms.get(name).node.isCurrent();
+  }
+
   /** Lets callers give up instead of asking again. */
   public void stopAsking() {
     asking = false;
