Look a job up in the log before denying it, and read less often

Cause: a VM answered 410 to a GET or DELETE of a job that another VM had just accepted, as long as its own last read was under 2.4 s old; a caller that cancelled promptly was told there was no such job, and the job ran on. A question now costs one read if the job is unknown, shared by those that come meanwhile; a catch-up that meets a reload answers 'not known' instead of never, which could also have left a claimed role unused. VMs that only show jobs now read each topic every 250 ms at most.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
@@ -68,6 +68,7 @@
   private final TopicFollower configurations;
   private final TopicFollower workers;
   private final PlannerRole role;
+  private final JobSearch search;
   private volatile Configuration configuration;
   private volatile long currentAsOfMillis = NEVER;
   private volatile boolean leaving;
@@ -90,12 +91,13 @@
     events = ports.events();
     control = ports.control();
     writer = new RequestWriter(log, control, time, events);
-    requests = follower(Topic.REQUESTS, new RequestReader(), settings.followGapMillis());
-    progress = follower(Topic.PROGRESS, new ProgressReader(), settings.followGapMillis());
+    requests = follower(Topic.REQUESTS, new RequestReader(), settings.showGapMillis());
+    progress = follower(Topic.PROGRESS, new ProgressReader(), settings.showGapMillis());
     configurations =
         follower(Topic.CONFIGURATION, this::onConfiguration, settings.followGapMillis());
     workers = follower(Topic.WORKERS, new WorkerReader(), settings.followGapMillis());
     role = new PlannerRole(settings, log, control, time, events);
+    search = new JobSearch(requests, entries);
   }
 
   private TopicFollower follower(Topic topic, TopicFollower.Reader reader, long gapMillis) {
@@ -192,16 +194,41 @@
    * @return completes with the outcome
    */
   public CompletableFuture<RequestOutcome> cancel(JobId id, long waitMillis) {
+    long deadline = time.steadyMillis() + Math.min(waitMillis, settings.requestMillis());
+    return find(id)
+        .thenCompose(
+            outcome -> outcome == RequestOutcome.DONE ? cancelKnown(id, deadline) : answer(outcome));
+  }
+
+  private CompletableFuture<RequestOutcome> cancelKnown(JobId id, long deadlineMillis) {
+    if (entries.get(id).shown().isEnded()) {
+      return answer(RequestOutcome.DONE);
+    }
+    return store(RequestCodec.cancellation(id), () -> onCancel(id), deadlineMillis);
+  }
+
+  private static CompletableFuture<RequestOutcome> answer(RequestOutcome outcome) {
+    return CompletableFuture.completedFuture(outcome);
+  }
+
+  /**
+   * Looks for a job, in the log too if it is not known here. Any thread.
+   *
+   * @param id the job
+   * @return completes with DONE if there is such a job, NO_SUCH_JOB if there is none, or NOT_DONE
+   *     if the log does not tell
+   */
+  public CompletableFuture<RequestOutcome> find(JobId id) {
     Entry known = entries.get(id);
-    if (known == null) {
-      return CompletableFuture.completedFuture(
-          isCurrent() ? RequestOutcome.NO_SUCH_JOB : RequestOutcome.NOT_DONE);
+    if (known != null && known.submission() != null) {
+      return answer(RequestOutcome.DONE);
     }
-    if (known.shown().isEnded()) {
-      return CompletableFuture.completedFuture(RequestOutcome.DONE);
+    if (!isCurrent()) {
+      return answer(RequestOutcome.NOT_DONE);
     }
-    long deadline = time.steadyMillis() + Math.min(waitMillis, settings.requestMillis());
-    return store(RequestCodec.cancellation(id), () -> onCancel(id), deadline);
+    CompletableFuture<RequestOutcome> found = new CompletableFuture<>();
+    control.execute(() -> search.find(id, found));
+    return found;
   }
 
   /**
@@ -393,6 +420,7 @@
     }
     listed.clear();
     workers.start();
+    requests.setGapMillis(settings.followGapMillis());
     step();
   }
 
@@ -404,6 +432,7 @@
     dispatcher.close();
     dispatcher = null;
     workers.stop();
+    requests.setGapMillis(settings.showGapMillis());
     role.steppedDown();
     progress.start();
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/TopicFollower.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/TopicFollower.java
@@ -40,8 +40,8 @@
   private final Time time;
   private final Events events;
   private final Reader reader;
-  private final long gapMillis;
-  private long waitMillis;
+  private final long waitMillis;
+  private long gapMillis;
   private long nextOffset = -1;
   private boolean inFlight;
   private boolean available = true;
@@ -96,9 +96,9 @@
     nextReadMillis = 0;
   }
 
-  /** Sets how long a read waits for a record. */
-  void setWaitMillis(long value) {
-    waitMillis = value;
+  /** Sets the shortest time between two reads; in force from the next read on. */
+  void setGapMillis(long value) {
+    gapMillis = value;
   }
 
   /** Returns whether the newest records have been loaded. */
@@ -147,7 +147,7 @@
    * Reads once beside the read that waits, so that everything stored by now is known.
    *
    * @param then run once it is
-   * @param otherwise run if the read fails
+   * @param otherwise run if the read fails, or the topic has to be loaded anew
    */
   void catchUp(Runnable then, Runnable otherwise) {
     int asked = generation;
@@ -155,17 +155,18 @@
     Answers.take(
         log.read(topic, nextOffset, 0),
         control,
-        slice ->
-            ifCurrent(
-                asked,
-                () -> {
-                  if (slice.outcome() == KeyedLog.ReadOutcome.READ) {
-                    take(slice, now);
-                    then.run();
-                  } else {
-                    otherwise.run();
-                  }
-                }));
+        slice -> {
+          if (asked != generation || slice.outcome() != KeyedLog.ReadOutcome.READ) {
+            otherwise.run();
+            return;
+          }
+          take(slice, now);
+          if (nextOffset >= slice.endOffset()) {
+            then.run();
+          } else {
+            catchUp(then, otherwise);
+          }
+        });
   }
 
   private void ifCurrent(int asked, Runnable action) {
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
@@ -61,9 +61,15 @@
   /** Longest wait of a read for records; bounds how long a silent connection goes unnoticed. */
   private static final long FOLLOW_WAIT_MILLIS = 1_500;
 
-  /** Shortest time between two reads of a topic. */
+  /** Shortest time between two reads of a topic by the planner. */
   private static final long FOLLOW_GAP_MILLIS = 20;
 
+  /**
+   * Shortest time between two reads of a topic by other VMs, whose answers may be that much older;
+   * each read is paid for, and a store of many VMs gets one from each for every change.
+   */
+  private static final long SHOW_GAP_MILLIS = 250;
+
   /** Longest time that a caller's request waits for the log; under the callers' own deadline. */
   private static final long REQUEST_MILLIS = 2_000;
 
@@ -143,6 +149,7 @@
         dispatch,
         FOLLOW_WAIT_MILLIS,
         FOLLOW_GAP_MILLIS,
+        SHOW_GAP_MILLIS,
         SILENCE_MILLIS,
         (long) (visibleMillis * STALE_PART),
         REQUEST_MILLIS);
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/World.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/World.java
@@ -113,7 +113,7 @@
       int mine = life;
       Executor control = action -> offer(mine, action);
       NodeSettings settings =
-          new NodeSettings(name, "life" + incarnations++, TIMES, 1_500, 20, 1_600, 2_400, 2_000);
+          new NodeSettings(name, "life" + incarnations++, TIMES, 1_500, 20, 250, 1_600, 2_400, 2_000);
       Dispatcher.Ports ports =
           new Dispatcher.Ports(
               new WorldLog(time, random, log, () -> logFault),
@@ -468,16 +468,25 @@
   public void submit(JobId id, JobRequest request, int priority) {
     requests.put(id, request);
     oracle.asked(id, request);
-    Submission submission =
-        new Submission(
-            id,
-            "org",
-            "queue-" + priority,
-            SERVICE,
-            new Submission.Terms(priority, 4, 3, 1_000),
-            time.wallMillis(),
-            request);
-    trySubmit(submission);
+    trySubmit(submission(id, request, priority));
+  }
+
+  private Submission submission(JobId id, JobRequest request, int priority) {
+    return new Submission(
+        id,
+        "org",
+        "queue-" + priority,
+        SERVICE,
+        new Submission.Terms(priority, 4, 3, 1_000),
+        time.wallMillis(),
+        request);
+  }
+
+  /** Hands a job in at one VM, once. */
+  public CompletableFuture<RequestOutcome> submitAt(String name, JobId id, JobRequest request) {
+    requests.put(id, request);
+    oracle.asked(id, request);
+    return vms.get(name).node.submit(submission(id, request, 0), 2_000);
   }
 
   private Vm anyVm() {
@@ -534,6 +543,11 @@
     return vms.get(name).node.isReady();
   }
 
+  /** Asks a VM whether there is a job. */
+  public CompletableFuture<RequestOutcome> find(String name, JobId id) {
+    return vms.get(name).node.find(id);
+  }
+
   /** Returns whether a VM would deny that a job exists which it does not know. */
   public boolean isCurrent(String name) {
     return vms.get(name).node.isCurrent();
