Serve what can be on time first, and small jobs before large

Cause: the queue was ordered by least slack, so in an overload what was already late went before what could still be on time, and late work of any priority before the next priority. Now: guarantee, priority, use to the caller, size; what nobody waits for comes last.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Estimates.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Estimates.java
@@ -36,18 +36,24 @@
 
   /** Returns the time within which a job should complete, from when it was accepted or due. */
   long objectiveMillis(Submission submission) {
-    List<StepSpec> steps = submission.request().steps();
-    long[] ends = new long[steps.size()];
     long longest = 0;
-    for (int i = 0; i < ends.length; i++) {
-      long begin = 0;
-      for (int earlier : steps.get(i).after()) {
-        begin = Math.max(begin, ends[earlier]);
-      }
-      ends[i] = begin + taskMillis(submission, steps.get(i));
-      longest = Math.max(longest, ends[i]);
+    for (int i = 0; i < submission.request().steps().size(); i++) {
+      longest = Math.max(longest, chainMillis(submission, i));
     }
     Submission.Terms terms = submission.terms();
     return (long) (terms.stretch() * longest) + terms.objectiveMillis();
   }
+
+  /** Returns the expected time from the start of a step to the end of what depends on it. */
+  long chainMillis(Submission submission, int from) {
+    List<StepSpec> steps = submission.request().steps();
+    long[] tails = new long[steps.size()];
+    for (int i = steps.size() - 1; i >= from; i--) {
+      tails[i] += taskMillis(submission, steps.get(i));
+      for (int earlier : steps.get(i).after()) {
+        tails[earlier] = Math.max(tails[earlier], tails[i]);
+      }
+    }
+    return tails[from];
+  }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViews.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViews.java
@@ -21,6 +21,9 @@
 
 /** Makes the immutable view that decisions are taken on. Keeps the urgent demand seen. */
 final class PlanViews {
+  /** Multiple of its objective after which a job is of no more use; from the users' terms. */
+  private static final long EXPIRY_FACTOR = 3;
+
   private final Estimates estimates;
   private final UrgentDemand urgent = new UrgentDemand();
 
@@ -85,6 +88,7 @@
     for (Occurrence occurrence : job.live()) {
       long due = submission.request().schedule().dueMillis(occurrence.number());
       long since = (due > 0 ? due : submission.acceptedAtMillis()) + steadyMinusWall;
+      long objective = estimates.objectiveMillis(submission);
       for (StepProgress step : occurrence.steps()) {
         List<Integer> tasks = waitingTasks(step);
         boolean whole = !step.spec().gang() || tasks.size() == step.tasks().size();
@@ -102,8 +106,10 @@
                 submission.terms().priority(),
                 guaranteed.contains(submission.id()),
                 since,
-                since + estimates.objectiveMillis(submission),
+                since + objective,
+                since + EXPIRY_FACTOR * objective,
                 estimates.taskMillis(submission, step.spec()),
+                estimates.chainMillis(submission, step.id().step()),
                 avoid));
       }
     }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
@@ -197,7 +197,8 @@
     long deadline = time.steadyMillis() + Math.min(waitMillis, settings.requestMillis());
     return find(id)
         .thenCompose(
-            outcome -> outcome == RequestOutcome.DONE ? cancelKnown(id, deadline) : answer(outcome));
+            outcome ->
+                outcome == RequestOutcome.DONE ? cancelKnown(id, deadline) : answer(outcome));
   }
 
   private CompletableFuture<RequestOutcome> cancelKnown(JobId id, long deadlineMillis) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -25,6 +25,25 @@
     this.settings = settings;
   }
 
+  /**
+   * Orders what waits: what its organisation's guarantee covers, then by priority. Within a
+   * priority, what can still be on time goes before what is late, and small jobs before large ones,
+   * so that in an overload most callers are served. What nobody waits for any more comes last.
+   */
+  private static Comparator<PlanView.Waiting> order(long nowMillis) {
+    return Comparator.<PlanView.Waiting>comparingInt(
+            waiting -> !waiting.guaranteed() && isExpired(waiting, nowMillis) ? 1 : 0)
+        .thenComparingInt(PlanView.Waiting::priority)
+        .thenComparing(waiting -> waiting.guaranteed() ? 0 : 1)
+        .thenComparing(waiting -> waiting.usefulness(nowMillis))
+        .thenComparingLong(PlanView.Waiting::acceleratorMillis)
+        .thenComparing(waiting -> waiting.step().toString());
+  }
+
+  private static boolean isExpired(PlanView.Waiting waiting, long nowMillis) {
+    return waiting.usefulness(nowMillis) == PlanView.Usefulness.NONE;
+  }
+
   @Override
   public List<PlanOrder> decide(PlanView view) {
     return new Pass(view).run();
@@ -45,11 +64,7 @@
 
     List<PlanOrder> run() {
       List<PlanView.Waiting> queue = new ArrayList<>(view.waiting());
-      queue.sort(
-          Comparator.comparingInt(PlanView.Waiting::priority)
-              .thenComparing(waiting -> waiting.guaranteed() ? 0 : 1)
-              .thenComparingLong(waiting -> waiting.objectiveMillis() - waiting.durationMillis())
-              .thenComparing(waiting -> waiting.step().toString()));
+      queue.sort(order(view.nowMillis()));
       for (PlanView.Waiting waiting : queue) {
         List<RoomLedger.Slot> candidates = room.candidates(waiting);
         if (waiting.spec().gang()) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
@@ -64,6 +64,16 @@
     }
   }
 
+  /** What a completion is worth to its caller; in falling order. */
+  public enum Usefulness {
+    /** The job can still meet its objective. */
+    ON_TIME,
+    /** It can still be of some use. */
+    LATE,
+    /** Nobody waits for it any more. */
+    NONE
+  }
+
   /**
    * Tasks of one step that wait. A gang waits as a whole.
    *
@@ -75,7 +85,9 @@
    * @param guaranteed whether its organisation's guarantee covers it
    * @param acceptedMillis steady time at which its turn came
    * @param objectiveMillis steady time by which the job should complete
+   * @param expiryMillis steady time after which its completion is of no more use to the caller
    * @param durationMillis expected duration of a task
+   * @param remainingMillis expected time from the start of this step to the end of the job
    * @param avoid workers on which its tasks have failed
    */
   public record Waiting(
@@ -87,7 +99,9 @@
       boolean guaranteed,
       long acceptedMillis,
       long objectiveMillis,
+      long expiryMillis,
       long durationMillis,
+      long remainingMillis,
       Set<WorkerId> avoid) {
     /** Copies the collections. */
     public Waiting {
@@ -95,6 +109,20 @@
       avoid = Set.copyOf(avoid);
     }
 
+    /** Returns how useful the job's completion is if the step begins at a time. */
+    public Usefulness usefulness(long beginMillis) {
+      long end = beginMillis + remainingMillis;
+      if (end <= objectiveMillis) {
+        return Usefulness.ON_TIME;
+      }
+      return end <= expiryMillis ? Usefulness.LATE : Usefulness.NONE;
+    }
+
+    /** Returns the accelerator time that the waiting tasks are expected to take. */
+    public long acceleratorMillis() {
+      return tasks.size() * Math.max(1, spec.reserved().accelerators()) * durationMillis;
+    }
+
     /** Returns whether the tasks may be stopped for urgent work without throwing anything away. */
     public boolean yields() {
       return priority > 0 && spec.checkpoints();
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/World.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/World.java
@@ -113,7 +113,8 @@
       int mine = life;
       Executor control = action -> offer(mine, action);
       NodeSettings settings =
-          new NodeSettings(name, "life" + incarnations++, TIMES, 1_500, 20, 250, 1_600, 2_400, 2_000);
+          new NodeSettings(
+              name, "life" + incarnations++, TIMES, 1_500, 20, 250, 1_600, 2_400, 2_000);
       Dispatcher.Ports ports =
           new Dispatcher.Ports(
               new WorldLog(time, random, log, () -> logFault),
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
@@ -59,7 +59,18 @@
       tasks.add(i);
     }
     return new Waiting(
-        step(job), spec, "s", tasks, priority, priority == 0, NOW, NOW + 4_000, 2_500, Set.of());
+        step(job),
+        spec,
+        "s",
+        tasks,
+        priority,
+        priority == 0,
+        NOW,
+        NOW + 4_000,
+        NOW + 12_000,
+        2_500,
+        2_500,
+        Set.of());
   }
 
   private static Running running(
