--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -55,6 +55,7 @@
     private final RoomLedger room;
     private final Victims victims;
     private final List<PlanOrder> orders = new ArrayList<>();
+    private long held;
 
     Pass(PlanView view) {
       this.view = view;
@@ -78,10 +79,11 @@
 
     private void placeGang(PlanView.Waiting waiting, List<RoomLedger.Slot> candidates) {
       int members = waiting.tasks().size();
+      List<List<RoomLedger.Slot>> near = near(waiting, candidates, members);
       if (!leavesReserve(waiting, members)) {
+        hold(waiting, near, members);
         return;
       }
-      List<List<RoomLedger.Slot>> near = near(waiting, candidates, members);
       List<RoomLedger.Slot> best = tightest(waiting, near, members);
       if (best != null) {
         start(waiting, fill(waiting, best, members));
@@ -93,12 +95,56 @@
       boolean mustStart =
           waiting.guaranteed()
               && view.nowMillis() - waiting.acceptedMillis() >= settings.anywhereAfterMillis();
-      if (waiting.priority() == 0 && preempt(waiting, near, members)) {
+      if (mayPreempt(waiting) && preempt(waiting, near, members)) {
         return;
       }
       boolean gainsNothing = waiting.priority() == 0 && isLateAnyway(waiting);
       if (mustStart || near.isEmpty() || gainsNothing) {
         placeAnywhere(waiting, candidates, members);
+      } else {
+        hold(waiting, near, members);
+      }
+    }
+
+    private boolean mayPreempt(PlanView.Waiting waiting) {
+      return waiting.guaranteed() || !isExpired(waiting, view.nowMillis());
+    }
+
+    /**
+     * Keeps the room of a gang that cannot start yet, where most of it is free, so that smaller
+     * work behind it does not take each part that becomes free. Work that yields may use it
+     * meanwhile.
+     */
+    private void hold(PlanView.Waiting waiting, List<List<RoomLedger.Slot>> groups, int members) {
+      long need = members * waiting.spec().reserved().accelerators();
+      if (isExpired(waiting, view.nowMillis())
+          || held + need > settings.heldPart() * room.accelerators()) {
+        return;
+      }
+      List<RoomLedger.Slot> best = null;
+      int bestFits = -1;
+      for (List<RoomLedger.Slot> group : groups) {
+        int fits = group.stream().mapToInt(slot -> slot.fitsSoon(waiting, members)).sum();
+        if (fits > bestFits) {
+          best = group;
+          bestFits = fits;
+        }
+      }
+      if (best == null) {
+        return;
+      }
+      held += need;
+      List<RoomLedger.Slot> order = new ArrayList<>(best);
+      order.sort(
+          Comparator.comparingInt((RoomLedger.Slot slot) -> -slot.fitsSoon(waiting, members))
+              .thenComparingLong(slot -> -slot.yielding()));
+      int left = members;
+      for (RoomLedger.Slot slot : order) {
+        int here = slot.fitsEmpty(waiting, left);
+        for (int i = 0; i < here; i++) {
+          slot.hold(waiting);
+        }
+        left -= here;
       }
     }
 
@@ -119,7 +165,7 @@
       List<List<RoomLedger.Slot>> all = List.of(candidates);
       if (tightest(waiting, all, members) != null) {
         start(waiting, fill(waiting, candidates, members));
-      } else if (!waitForStops(waiting, all, members) && waiting.priority() == 0) {
+      } else if (!waitForStops(waiting, all, members) && mayPreempt(waiting)) {
         preempt(waiting, all, members);
       }
     }
@@ -276,7 +322,7 @@
       }
       start(waiting, chosen);
       int left = waiting.tasks().size() - chosen.size();
-      if (left > 0 && waiting.priority() == 0) {
+      if (left > 0 && waiting.priority() == 0 && mayPreempt(waiting)) {
         List<RoomLedger.Slot> where = near.isEmpty() ? candidates : near;
         if (!waitForStops(waiting, List.of(where), left)) {
           preempt(waiting, List.of(where), left);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
@@ -11,6 +11,14 @@
   /** Time kept for the log and the calls between a decision and the start; two slow log answers. */
   public static final long ORDER_MARGIN_MILLIS = 800;
 
+  /** Part of all accelerators that may be held for gangs that wait; the rest goes on being used. */
+  private static final double HELD_PART = 0.5;
+
+  /** Returns the part of all accelerators that may be held for gangs that wait. */
+  public double heldPart() {
+    return HELD_PART;
+  }
+
   /** Returns the age at which guaranteed work goes anywhere, for its guarantee counts most. */
   public long anywhereAfterMillis() {
     return Math.max(0, reclaimMillis - 2 * stopMillis - ORDER_MARGIN_MILLIS);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/RoomLedger.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/RoomLedger.java
@@ -16,12 +16,14 @@
     private final PlanView.WorkerView worker;
     private final Map<StepId, Integer> tasksByStep;
     private Capacity free;
+    private Capacity open;
     private Capacity soon;
     private long yielding;
 
     private Slot(PlanView.WorkerView worker) {
       this.worker = worker;
       free = worker.free();
+      open = free;
       soon = worker.freeAfterStops();
       yielding = worker.yielding();
       tasksByStep = new HashMap<>(worker.tasksByStep());
@@ -41,7 +43,8 @@
 
     /** Returns how many tasks of a step fit now, at most a number. */
     int fits(PlanView.Waiting waiting, int most) {
-      return limited(waiting, free.count(waiting.spec().reserved()), most);
+      Capacity usable = waiting.yields() && !waiting.spec().gang() ? open : free;
+      return limited(waiting, usable.count(waiting.spec().reserved()), most);
     }
 
     /** Returns how many tasks of a step fit once all stops under way have ended. */
@@ -65,6 +68,7 @@
 
     void take(PlanView.Waiting waiting) {
       free = free.minus(waiting.spec().reserved());
+      open = open.minus(waiting.spec().reserved());
       if (waiting.yields()) {
         yielding += waiting.spec().reserved().accelerators();
       }
@@ -88,6 +92,13 @@
     /** Keeps later work off room that a reservation waits for. */
     void block() {
       free = smaller(free, soon);
+      open = smaller(open, soon);
+    }
+
+    /** Keeps room for a gang that waits; work that yields may use it meanwhile. */
+    void hold(PlanView.Waiting waiting) {
+      soon = soon.minus(waiting.spec().reserved());
+      free = smaller(free, soon);
     }
 
     private static Capacity smaller(Capacity one, Capacity other) {
@@ -127,6 +138,11 @@
     return found;
   }
 
+  /** Returns the accelerators of all workers. */
+  long accelerators() {
+    return slots.values().stream().mapToLong(slot -> slot.worker.capacity().accelerators()).sum();
+  }
+
   /** Returns the accelerators that urgent work can have without any loss. */
   long withinReach() {
     return slots.values().stream().mapToLong(Slot::withinReach).sum();
