--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -137,6 +137,7 @@
     if (jobs.putIfAbsent(job.submission().id(), job) != null) {
       return;
     }
+    estimates.submitted(job.submission());
     for (Occurrence occurrence : job.live()) {
       for (StepProgress step : occurrence.steps()) {
         inherit(step);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Estimates.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Estimates.java
@@ -7,31 +7,43 @@
 import org.peridotroute.scheduler.model.Submission;
 
 /**
- * Expected durations. Callers' estimates are far from the truth, so each queue's ratio of true to
- * declared duration is learned.
+ * Expected durations. Callers' estimates are off by factors in either direction, so a task is
+ * expected to take what is usual in its queue, moved towards its own estimate as far as estimates
+ * there have been found to tell.
  */
 final class Estimates {
   /** Duration assumed where nothing was declared. */
   private static final long UNKNOWN_MILLIS = 5_000;
 
-  /** Weight of one observation in a queue's ratio. */
-  private static final double WEIGHT = 0.1;
+  private final Map<String, QueueDurations> queues = new HashMap<>();
 
-  private final Map<String, Double> ratios = new HashMap<>();
+  /** Takes in what a submission declares. */
+  void submitted(Submission submission) {
+    for (StepSpec step : submission.request().steps()) {
+      if (!step.service()) {
+        durations(submission).declared(declaredMillis(step));
+      }
+    }
+  }
 
   /** Learns from a task that ran its whole length near its data. */
   void observe(Submission submission, StepSpec step, long tookMillis) {
-    if (step.estimateMillis() <= 0 || tookMillis <= 0) {
-      return;
+    if (tookMillis > 0) {
+      durations(submission).observed(declaredMillis(step), tookMillis);
     }
-    double ratio = (double) tookMillis / step.estimateMillis();
-    ratios.merge(submission.queue(), ratio, (old, fresh) -> old + WEIGHT * (fresh - old));
   }
 
   /** Returns the expected duration of a task of a step. */
   long taskMillis(Submission submission, StepSpec step) {
-    long declared = step.estimateMillis() > 0 ? step.estimateMillis() : UNKNOWN_MILLIS;
-    return (long) (declared * ratios.getOrDefault(submission.queue(), 1.0));
+    return durations(submission).expectedMillis(declaredMillis(step));
+  }
+
+  private QueueDurations durations(Submission submission) {
+    return queues.computeIfAbsent(submission.queue(), queue -> new QueueDurations());
+  }
+
+  private static long declaredMillis(StepSpec step) {
+    return step.estimateMillis() > 0 ? step.estimateMillis() : UNKNOWN_MILLIS;
   }
 
   /** Returns the time within which a job should complete, from when it was accepted or due. */
