--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/QueueDurations.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/QueueDurations.java
@@ -28,13 +28,13 @@
   /** Takes a declared duration in. */
   void declared(long millis) {
     declarations++;
-    declaredSum += Math.log(millis);
+    declaredSum += Math.log((double) millis);
   }
 
   /** Takes in what a task took. */
   void observed(long declaredMillis, long tookMillis) {
-    double x = Math.log(declaredMillis);
-    double y = Math.log(tookMillis);
+    double x = Math.log((double) declaredMillis);
+    double y = Math.log((double) tookMillis);
     observations++;
     double fromMean = x - declaredMean;
     declaredMean += fromMean / observations;
@@ -45,12 +45,12 @@
 
   /** Returns the duration to expect of a task. */
   long expectedMillis(long declaredMillis) {
-    double x = Math.log(declaredMillis);
+    double x = Math.log((double) declaredMillis);
     if (observations > 0) {
-      return millis(trueMean + slope() * (x - declaredMean));
+      return rounded(trueMean + slope() * (x - declaredMean));
     }
     double usual = declarations == 0 ? x : declaredSum / declarations;
-    return millis(usual + PRIOR_SLOPE * (x - usual));
+    return rounded(usual + PRIOR_SLOPE * (x - usual));
   }
 
   private double slope() {
@@ -59,7 +59,7 @@
     return Math.max(0, Math.min(MOST_SLOPE, slope));
   }
 
-  private static long millis(double logarithm) {
+  private static long rounded(double logarithm) {
     return Math.max(1, Math.round(Math.exp(logarithm)));
   }
 }
