Send callers elsewhere while a VM is cut off from the log

A VM whose log is silent for 1.8 s now refuses at once, shows only what is final and leaves the balancer.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -121,6 +121,11 @@
     return term;
   }
 
+  /** Returns the steady time at which the last append that the log has confirmed was sent. */
+  public long confirmedMillis() {
+    return journal.confirmedMillis();
+  }
+
   /** Stops giving orders. What runs keeps its leases. */
   public void close() {
     closed = true;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
@@ -71,6 +71,7 @@
   private final JobSearch search;
   private volatile Configuration configuration;
   private volatile long currentAsOfMillis = NEVER;
+  private volatile long answeredMillis = NEVER;
   private volatile boolean leaving;
   private volatile boolean refusing;
   private volatile Dispatcher dispatcher;
@@ -91,18 +92,24 @@
     events = ports.events();
     control = ports.control();
     writer = new RequestWriter(log, control, time, events);
-    requests = follower(Topic.REQUESTS, new RequestReader(), settings.showGapMillis());
-    progress = follower(Topic.PROGRESS, new ProgressReader(), settings.showGapMillis());
+    long wait = settings.followWaitMillis();
+    requests = follower(Topic.REQUESTS, new RequestReader(), wait, settings.showGapMillis());
+    progress =
+        follower(
+            Topic.PROGRESS,
+            new ProgressReader(),
+            settings.signWaitMillis(),
+            settings.showGapMillis());
     configurations =
-        follower(Topic.CONFIGURATION, this::onConfiguration, settings.followGapMillis());
-    workers = follower(Topic.WORKERS, new WorkerReader(), settings.followGapMillis());
+        follower(Topic.CONFIGURATION, this::onConfiguration, wait, settings.followGapMillis());
+    workers = follower(Topic.WORKERS, new WorkerReader(), wait, settings.followGapMillis());
     role = new PlannerRole(settings, log, control, time, events);
     search = new JobSearch(requests, entries);
   }
 
-  private TopicFollower follower(Topic topic, TopicFollower.Reader reader, long gapMillis) {
-    return new TopicFollower(
-        topic, log, control, time, events, reader, settings.followWaitMillis(), gapMillis);
+  private TopicFollower follower(
+      Topic topic, TopicFollower.Reader reader, long waitMillis, long gapMillis) {
+    return new TopicFollower(topic, log, control, time, events, reader, waitMillis, gapMillis);
   }
 
   /** Begins to follow the log. Control thread. */
@@ -133,11 +140,16 @@
     workers.step();
     writer.step();
     refusing = writer.isRefusing();
+    answeredMillis =
+        Math.max(
+            configurations.answeredMillis(),
+            Math.max(requests.answeredMillis(), progress.answeredMillis()));
     currentAsOfMillis =
         dispatcher == null
             ? Math.min(requests.currentAsOfMillis(), progress.currentAsOfMillis())
             : requests.currentAsOfMillis();
     if (dispatcher != null) {
+      answeredMillis = Math.max(answeredMillis, dispatcher.confirmedMillis());
       dispatcher.step();
     } else if (mayPlan() && progress.isLoaded()) {
       role.claimIfLeft(progress.nextOffset(), this::elected);
@@ -150,7 +162,17 @@
 
   /** Returns whether the VM can serve. Any thread. */
   public boolean isReady() {
-    return !leaving && configuration != null && !refusing && currentAsOfMillis != NEVER;
+    return !leaving
+        && configuration != null
+        && !refusing
+        && currentAsOfMillis != NEVER
+        && !isCutOff();
+  }
+
+  /** Returns whether the log has not answered this VM for a while. Any thread. */
+  public boolean isCutOff() {
+    long answered = answeredMillis;
+    return answered == NEVER || time.steadyMillis() - answered > settings.cutOffMillis();
   }
 
   /** Returns the configuration in force, null before the first. Any thread. */
@@ -173,7 +195,10 @@
   public CompletableFuture<RequestOutcome> submit(Submission submission, long waitMillis) {
     Entry known = entries.get(submission.id());
     if (known != null && known.submission() != null) {
-      return CompletableFuture.completedFuture(RequestOutcome.DONE);
+      return answer(RequestOutcome.DONE);
+    }
+    if (isCutOff()) {
+      return answer(RequestOutcome.NOT_DONE);
     }
     long deadline = time.steadyMillis() + Math.min(waitMillis, settings.requestMillis());
     return store(RequestCodec.submission(submission), () -> onSubmission(submission), deadline);
@@ -216,13 +241,14 @@
    * Looks for a job, in the log too if it is not known here. Any thread.
    *
    * @param id the job
-   * @return completes with DONE if there is such a job, NO_SUCH_JOB if there is none, or NOT_DONE
-   *     if the log does not tell
+   * @return completes with DONE if there is such a job and its phase is known, NO_SUCH_JOB if there
+   *     is none, or NOT_DONE if the log does not tell
    */
   public CompletableFuture<RequestOutcome> find(JobId id) {
     Entry known = entries.get(id);
     if (known != null && known.submission() != null) {
-      return answer(RequestOutcome.DONE);
+      boolean told = known.shown().isEnded() || !isCutOff();
+      return answer(told ? RequestOutcome.DONE : RequestOutcome.NOT_DONE);
     }
     if (!isCurrent()) {
       return answer(RequestOutcome.NOT_DONE);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/TopicFollower.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/TopicFollower.java
@@ -45,6 +45,7 @@
   private long nextOffset = -1;
   private boolean inFlight;
   private boolean available = true;
+  private long answeredMillis = Long.MIN_VALUE;
   private boolean running;
   private long nextReadMillis;
   private long currentAsOfMillis = Long.MIN_VALUE;
@@ -106,9 +107,9 @@
     return nextOffset >= 0;
   }
 
-  /** Returns whether the last call was answered. */
-  boolean isAvailable() {
-    return available;
+  /** Returns the steady time of the log's last answer, {@code Long.MIN_VALUE} before the first. */
+  long answeredMillis() {
+    return answeredMillis;
   }
 
   /** Returns the offset that will be read next, -1 before the load. */
@@ -160,6 +161,7 @@
             otherwise.run();
             return;
           }
+          regained();
           take(slice, now);
           if (nextOffset >= slice.endOffset()) {
             then.run();
@@ -243,6 +245,7 @@
   }
 
   private void regained() {
+    answeredMillis = time.steadyMillis();
     if (!available) {
       available = true;
       events.info("topic-regained", "topic", topic, "offset", nextOffset);
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
@@ -61,6 +61,15 @@
   /** Longest wait of a read for records; bounds how long a silent connection goes unnoticed. */
   private static final long FOLLOW_WAIT_MILLIS = 1_500;
 
+  /** Longest wait of a read for the planner's records; two missed signs of life. */
+  private static final long SIGN_WAIT_MILLIS = 800;
+
+  /**
+   * Silence of the log towards this VM after which callers are sent elsewhere: a wait for a sign of
+   * life, the gap between two reads, and an answer of the store on its slowest days.
+   */
+  private static final long CUT_OFF_MILLIS = 1_800;
+
   /** Shortest time between two reads of a topic by the planner. */
   private static final long FOLLOW_GAP_MILLIS = 20;
 
@@ -148,9 +157,11 @@
         incarnation,
         dispatch,
         FOLLOW_WAIT_MILLIS,
+        SIGN_WAIT_MILLIS,
         FOLLOW_GAP_MILLIS,
         SHOW_GAP_MILLIS,
         SILENCE_MILLIS,
+        CUT_OFF_MILLIS,
         (long) (visibleMillis * STALE_PART),
         REQUEST_MILLIS);
   }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/World.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/World.java
@@ -114,7 +114,17 @@
       Executor control = action -> offer(mine, action);
       NodeSettings settings =
           new NodeSettings(
-              name, "life" + incarnations++, TIMES, 1_500, 20, 250, 1_600, 2_400, 2_000);
+              name,
+              "life" + incarnations++,
+              TIMES,
+              1_500,
+              800,
+              20,
+              250,
+              1_600,
+              1_800,
+              2_400,
+              2_000);
       Dispatcher.Ports ports =
           new Dispatcher.Ports(
               new WorldLog(time, random, log, () -> logFault),
