Read anew when a caller asks, and act on fresh answers alone

It now reads when asked, and at leisure otherwise.

An answer that was slept over, or that repeats what the log said first, no longer proves the term.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
@@ -30,6 +30,14 @@
   /** Time added to a lease's end for calls under way. */
   private static final long LEASE_MARGIN_MILLIS = 300;
 
+  /** Signs of life for whose time an answer proves the term; one less than a successor misses. */
+  private static final long PROOF_SIGNS = 3;
+
+  /** Returns the age up to which the log's answer proves that nobody else has taken over. */
+  public long proofMillis() {
+    return PROOF_SIGNS * renewMillis;
+  }
+
   /** Returns the time after an order was sent by which its lease has run out for certain. */
   public long lapseMillis() {
     return (long) (leaseMillis * SLOWEST_CLOCK) + LEASE_MARGIN_MILLIS;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -112,7 +112,8 @@
             ports.control(),
             time,
             events,
-            outcome -> supersede("the log answered " + outcome));
+            outcome -> supersede("the log answered " + outcome),
+            settings.proofMillis());
     fleet = new Fleet(ports.gateway(), settings, term, ports.control(), time, events, this);
   }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
@@ -20,7 +20,10 @@
 
 /**
  * Writes the progress of jobs, one append at a time, and runs what waits for it once the log has
- * answered. An append without an answer is repeated under its number until it gets one.
+ * answered. An append without an answer is repeated under its number until it gets one. The log
+ * answers a repeat with what it said first, even if another planner has taken over since, and an
+ * answer may lie unread while this process is paused; so what waits for such an append runs only
+ * once a later one is confirmed.
  */
 final class Journal {
   /** Pause before an append that the log refused is tried again; a few of the log's own times. */
@@ -32,6 +35,7 @@
   private final Time time;
   private final Events events;
   private final Consumer<AppendOutcome> onSuperseded;
+  private final long proofMillis;
   private final Set<Job> dirty = new LinkedHashSet<>();
   private List<Runnable> waiting = new ArrayList<>();
   private List<KeyedRecord> inFlight;
@@ -40,22 +44,31 @@
   private long sentMillis;
   private long retryMillis;
   private boolean awaitingReply;
+  private boolean unanswered;
   private long confirmedMillis;
   private boolean closed;
 
+  /**
+   * Creates a journal.
+   *
+   * @param onSuperseded told when the log says that another planner has taken over
+   * @param proofMillis age up to which an answer proves that nobody else has taken over
+   */
   Journal(
       KeyedLog log,
       Term term,
       Executor control,
       Time time,
       Events events,
-      Consumer<AppendOutcome> onSuperseded) {
+      Consumer<AppendOutcome> onSuperseded,
+      long proofMillis) {
     this.log = log;
     this.term = term;
     this.control = control;
     this.time = time;
     this.events = events;
     this.onSuperseded = onSuperseded;
+    this.proofMillis = proofMillis;
     sequence = term.sequence();
     confirmedMillis = time.steadyMillis();
   }
@@ -138,6 +151,7 @@
     switch (reply.outcome()) {
       case APPENDED -> stored(sentAt);
       case REFUSED, UNKNOWN -> {
+        unanswered |= reply.outcome() == AppendOutcome.UNKNOWN;
         retryMillis = time.steadyMillis() + RETRY_MILLIS;
         events.warn(
             "journal-append-retried",
@@ -158,12 +172,18 @@
   }
 
   private void stored(long sentAt) {
-    confirmedMillis = sentAt;
+    boolean proves = !unanswered && time.steadyMillis() - sentAt <= proofMillis;
+    unanswered = false;
     sequence++;
     inFlight = null;
     List<Runnable> actions = afterInFlight;
     afterInFlight = List.of();
-    actions.forEach(Runnable::run);
+    if (proves) {
+      confirmedMillis = sentAt;
+      actions.forEach(Runnable::run);
+    } else {
+      waiting.addAll(0, actions);
+    }
     flush(Long.MAX_VALUE);
   }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobSearch.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobSearch.java
@@ -1,65 +1,68 @@
 package org.peridotroute.scheduler.node;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.peridotroute.scheduler.model.JobId;
 
 /**
- * Looks for jobs that this VM does not know, by a read of the log that is sent after the question,
- * so that a job which another VM has just accepted is not denied. Questions that come during a read
- * share the next one. Belongs to the control thread.
+ * Finds out what callers ask about a job. What this VM does not know for good is read from the log
+ * after the question, so that a job which another VM has just accepted is not denied and one that
+ * has just ended is not shown as running. VMs that only show jobs can therefore follow the log at
+ * leisure. Belongs to the control thread.
  */
 final class JobSearch {
-  /** A job asked for. */
-  private record Question(JobId id, CompletableFuture<RequestOutcome> answer) {}
-
-  private final TopicFollower requests;
+  private final FreshReads requests;
+  private final FreshReads progress;
   private final Map<JobId, Entry> entries;
-  private List<Question> waiting = new ArrayList<>();
-  private boolean reading;
+  private final BooleanSupplier planning;
 
-  JobSearch(TopicFollower requests, Map<JobId, Entry> entries) {
-    this.requests = requests;
+  JobSearch(
+      TopicFollower requests,
+      TopicFollower progress,
+      Map<JobId, Entry> entries,
+      BooleanSupplier planning) {
+    this.requests = new FreshReads(requests);
+    this.progress = new FreshReads(progress);
     this.entries = entries;
+    this.planning = planning;
   }
 
   /**
    * Looks for a job.
    *
    * @param id the job
-   * @param answer completed with DONE once the job is known, NO_SUCH_JOB if there is none, or
+   * @param answer completed with DONE once its phase is known, NO_SUCH_JOB if there is none, or
    *     NOT_DONE if the log does not tell
    */
   void find(JobId id, CompletableFuture<RequestOutcome> answer) {
-    waiting.add(new Question(id, answer));
-    read();
-  }
-
-  private void read() {
-    if (reading || waiting.isEmpty()) {
-      return;
-    }
-    List<Question> asked = waiting;
-    waiting = new ArrayList<>();
-    if (!requests.isLoaded()) {
-      asked.forEach(question -> question.answer().complete(RequestOutcome.NOT_DONE));
+    Runnable untold = () -> answer.complete(RequestOutcome.NOT_DONE);
+    if (isKnown(id)) {
+      refresh(id, answer, untold);
       return;
     }
-    reading = true;
-    requests.catchUp(
-        () -> answered(asked, RequestOutcome.NO_SUCH_JOB),
-        () -> answered(asked, RequestOutcome.NOT_DONE));
+    requests.read(
+        () -> {
+          if (isKnown(id)) {
+            refresh(id, answer, untold);
+          } else {
+            answer.complete(RequestOutcome.NO_SUCH_JOB);
+          }
+        },
+        untold);
+  }
+
+  private boolean isKnown(JobId id) {
+    Entry entry = entries.get(id);
+    return entry != null && entry.submission() != null;
   }
 
-  private void answered(List<Question> asked, RequestOutcome otherwise) {
-    reading = false;
-    for (Question question : asked) {
-      Entry entry = entries.get(question.id());
-      boolean known = entry != null && entry.submission() != null;
-      question.answer().complete(known ? RequestOutcome.DONE : otherwise);
+  private void refresh(JobId id, CompletableFuture<RequestOutcome> answer, Runnable untold) {
+    // The planner itself shows what it has stored.
+    if (planning.getAsBoolean() || entries.get(id).shown().isEnded()) {
+      answer.complete(RequestOutcome.DONE);
+      return;
     }
-    read();
+    progress.read(() -> answer.complete(RequestOutcome.DONE), untold);
   }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Node.java
@@ -101,10 +101,14 @@
             settings.signWaitMillis(),
             settings.showGapMillis());
     configurations =
-        follower(Topic.CONFIGURATION, this::onConfiguration, wait, settings.followGapMillis());
+        follower(
+            Topic.CONFIGURATION,
+            this::onConfiguration,
+            settings.signWaitMillis(),
+            settings.followGapMillis());
     workers = follower(Topic.WORKERS, new WorkerReader(), wait, settings.followGapMillis());
     role = new PlannerRole(settings, log, control, time, events);
-    search = new JobSearch(requests, entries);
+    search = new JobSearch(requests, progress, entries, this::isPlanning);
   }
 
   private TopicFollower follower(
@@ -246,11 +250,10 @@
    */
   public CompletableFuture<RequestOutcome> find(JobId id) {
     Entry known = entries.get(id);
-    if (known != null && known.submission() != null) {
-      boolean told = known.shown().isEnded() || !isCutOff();
-      return answer(told ? RequestOutcome.DONE : RequestOutcome.NOT_DONE);
+    if (known != null && known.submission() != null && known.shown().isEnded()) {
+      return answer(RequestOutcome.DONE);
     }
-    if (!isCurrent()) {
+    if (isCutOff()) {
       return answer(RequestOutcome.NOT_DONE);
     }
     CompletableFuture<RequestOutcome> found = new CompletableFuture<>();
@@ -268,12 +271,6 @@
     return Optional.ofNullable(entries.get(id)).map(Entry::shown);
   }
 
-  /** Returns whether what is known is fresh enough to deny that a job exists. Any thread. */
-  public boolean isCurrent() {
-    long asOf = currentAsOfMillis;
-    return asOf != NEVER && time.steadyMillis() - asOf <= settings.staleMillis();
-  }
-
   /**
    * Counts the jobs of a queue that have not begun. Any thread.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/NodeSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/NodeSettings.java
@@ -9,7 +9,8 @@
  * @param incarnation name of this run of the process
  * @param dispatch times of the planner
  * @param followWaitMillis longest wait of a read for records
- * @param signWaitMillis longest wait of a read for the planner's records, which come more often
+ * @param signWaitMillis longest wait of a read for signs of life: those of the planner and, on the
+ *     configuration, of the log itself
  * @param followGapMillis shortest time between two reads of one topic by the planner, and of the
  *     configuration by all
  * @param showGapMillis shortest time between two reads of one topic by VMs that only show jobs
@@ -18,7 +19,6 @@
  *     little processor time, so that a stronger VM plans if there is one
  * @param cutOffMillis silence of the log towards this VM after which callers are sent elsewhere;
  *     above the longest time between two answers, which is a wait, a gap and the answer's own time
- * @param staleMillis age of what was read after which an unknown job is not denied
  * @param requestMillis longest time that a caller's request waits for the log
  */
 public record NodeSettings(
@@ -32,7 +32,6 @@
     long silenceMillis,
     long claimDelayMillis,
     long cutOffMillis,
-    long staleMillis,
     long requestMillis) {
   /** Starts settings with nothing set; every value has to be given. */
   public static Builder newBuilder() {
@@ -51,7 +50,6 @@
     private long silenceMillis;
     private long claimDelayMillis;
     private long cutOffMillis;
-    private long staleMillis;
     private long requestMillis;
 
     private Builder() {}
@@ -80,7 +78,10 @@
       return this;
     }
 
-    /** Sets the longest wait of a read for the planner's records, which come more often. */
+    /**
+     * Sets the longest wait of a read for signs of life: those of the planner and, on the
+     * configuration, of the log itself.
+     */
     public Builder setSignWaitMillis(long value) {
       signWaitMillis = value;
       return this;
@@ -119,12 +120,6 @@
       return this;
     }
 
-    /** Sets the age of what was read after which an unknown job is not denied. */
-    public Builder setStaleMillis(long value) {
-      staleMillis = value;
-      return this;
-    }
-
     /** Sets the longest time that a caller's request waits for the log. */
     public Builder setRequestMillis(long value) {
       requestMillis = value;
@@ -144,7 +139,6 @@
           silenceMillis,
           claimDelayMillis,
           cutOffMillis,
-          staleMillis,
           requestMillis);
     }
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -107,7 +107,8 @@
     }
 
     private boolean mayPreempt(PlanView.Waiting waiting) {
-      return waiting.guaranteed() || !isExpired(waiting, view.nowMillis());
+      return waiting.priority() == 0
+          && (waiting.guaranteed() || !isExpired(waiting, view.nowMillis()));
     }
 
     /**
@@ -322,7 +323,7 @@
       }
       start(waiting, chosen);
       int left = waiting.tasks().size() - chosen.size();
-      if (left > 0 && waiting.priority() == 0 && mayPreempt(waiting)) {
+      if (left > 0 && mayPreempt(waiting)) {
         List<RoomLedger.Slot> where = near.isEmpty() ? candidates : near;
         if (!waitForStops(waiting, List.of(where), left)) {
           preempt(waiting, List.of(where), left);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/Victims.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/Victims.java
@@ -91,7 +91,7 @@
       Set<PlanView.Running> already) {
     List<PlanView.Running> order = new ArrayList<>();
     for (PlanView.Running one : byWorker.getOrDefault(slot.worker().id(), List.of())) {
-      if (mayStop(one, waiting) && !taken.contains(one) && !already.contains(one)) {
+      if (one.priority() > waiting.priority() && !taken.contains(one) && !already.contains(one)) {
         order.add(one);
       }
     }
@@ -111,12 +111,6 @@
     }
   }
 
-  /** Only the most urgent work may throw the work of others away. */
-  private static boolean mayStop(PlanView.Running one, PlanView.Waiting waiting) {
-    return one.priority() > waiting.priority()
-        && (waiting.priority() == 0 || one.unsavedMillis() == 0);
-  }
-
   /** Spares victims that turn out not to be needed, the dearest first. */
   private void prune(
       PlanView.Waiting waiting,
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
@@ -26,7 +26,6 @@
  * @param reclaimMillis time within which guaranteed room must be in use again
  * @param farFactor how much longer a task takes away from its data or its gang's rack
  * @param heartbeatMillis time between two heartbeats of a worker
- * @param visibleMillis time after which an accepted job must be known everywhere
  * @param graceSeconds time between the signal to stop and the end, in seconds
  * @param processorShare part of its processor's time that this VM has
  * @param processorSpeed speed of that processor, 1 for the usual
@@ -43,7 +42,6 @@
     long reclaimMillis,
     double farFactor,
     long heartbeatMillis,
-    long visibleMillis,
     double graceSeconds,
     double processorShare,
     double processorSpeed) {
@@ -76,7 +74,10 @@
   /** Longest wait of a read for records; bounds how long a silent connection goes unnoticed. */
   private static final long FOLLOW_WAIT_MILLIS = 1_500;
 
-  /** Longest wait of a read for the planner's records; two missed signs of life. */
+  /**
+   * Longest wait of a read for signs of life of the planner, two of which it then has missed, and
+   * of the log.
+   */
   private static final long SIGN_WAIT_MILLIS = 800;
 
   /**
@@ -89,17 +90,14 @@
   private static final long FOLLOW_GAP_MILLIS = 20;
 
   /**
-   * Shortest time between two reads of a topic by other VMs, whose answers may be that much older;
-   * each read is paid for, and a store of many VMs gets one from each for every change.
+   * Shortest time between two reads of a topic by other VMs, which read anew when a caller asks. A
+   * read that is sent after it may show the planner's silence.
    */
-  private static final long SHOW_GAP_MILLIS = 250;
+  private static final long SHOW_GAP_MILLIS = 1_000;
 
   /** Longest time that a caller's request waits for the log; under the callers' own deadline. */
   private static final long REQUEST_MILLIS = 2_000;
 
-  /** Part of the visibility bound that what was read may be old before a job is not denied. */
-  private static final double STALE_PART = 0.8;
-
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
           .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
@@ -132,7 +130,6 @@
     positive(file, "leaseMillis", (double) leaseMillis);
     positive(file, "stopMillis", (double) stopMillis);
     positive(file, "reclaimMillis", (double) reclaimMillis);
-    positive(file, "visibleMillis", (double) visibleMillis);
     positive(file, "graceSeconds", graceSeconds);
     positive(file, "processorShare", processorShare);
     positive(file, "processorSpeed", processorSpeed);
@@ -185,7 +182,6 @@
         .setSilenceMillis(SILENCE_MILLIS)
         .setClaimDelayMillis(claimDelayMillis())
         .setCutOffMillis(CUT_OFF_MILLIS)
-        .setStaleMillis((long) (visibleMillis * STALE_PART))
         .setRequestMillis(REQUEST_MILLIS)
         .build();
   }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/JobSearchTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/JobSearchTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.JobId;
+import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.Schedule;
 import org.peridotroute.scheduler.model.StepSpec;
@@ -59,6 +60,26 @@
     assertThat(answer.join()).isEqualTo(RequestOutcome.NOT_DONE);
   }
 
+  @Test
+  void isShownAsOverAsSoonAsItsEndIsStored() {
+    for (int seed = 1; seed <= 20; seed++) {
+      World world = new World(seed, 3, 2, Events.NONE);
+      world.time().pass(5_000);
+      JobId id = new JobId("%016x".formatted(seed));
+      var accepted = world.submitAt("vm-0", id, SMALL);
+      while (!accepted.isDone() || !world.phases(id).contains(JobPhase.COMPLETED)) {
+        world.time().pass(1);
+      }
+      for (String name : world.vmNames()) {
+        var answer = world.find(name, id);
+        world.time().pass(100);
+        assertThat(answer.join()).isEqualTo(RequestOutcome.DONE);
+      }
+      assertThat(world.phases(id))
+          .containsExactly(JobPhase.COMPLETED, JobPhase.COMPLETED, JobPhase.COMPLETED);
+    }
+  }
+
   private static List<CompletableFuture<RequestOutcome>> ask(World world, JobId id) {
     return List.of(world.find("vm-1", id), world.find("vm-2", id));
   }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
@@ -195,4 +195,80 @@
             0);
     assertThat(orders).isEmpty();
   }
+
+  private static Waiting late(Waiting of, long objectiveMillis, long expiryMillis) {
+    return new Waiting(
+        of.step(),
+        of.spec(),
+        of.service(),
+        of.tasks(),
+        of.priority(),
+        false,
+        of.acceptedMillis(),
+        objectiveMillis,
+        expiryMillis,
+        of.durationMillis(),
+        of.remainingMillis(),
+        of.avoid());
+  }
+
+  private static List<Integer> startedJobs(List<PlanOrder> orders) {
+    List<Integer> jobs = new ArrayList<>();
+    for (PlanOrder order : orders) {
+      if (order instanceof PlanOrder.Start start) {
+        jobs.add(Integer.parseInt(start.step().job().value(), 16));
+      }
+    }
+    return jobs;
+  }
+
+  @Test
+  void inAnOverloadJobsThatNobodyWaitsForComeLast() {
+    Waiting expired = late(waiting(1, 1, 1, 8, false, false), NOW - 9_000, NOW - 1_000);
+    Waiting fresh = waiting(2, 2, 1, 8, false, false);
+    assertThat(startedJobs(decide(List.of(worker(0, 8, 0)), List.of(expired, fresh), List.of(), 0)))
+        .containsExactly(2);
+    assertThat(startedJobs(decide(List.of(worker(0, 8, 0)), List.of(expired), List.of(), 0)))
+        .containsExactly(1);
+  }
+
+  @Test
+  void inAnOverloadWhatCanBeOnTimeGoesBeforeWhatIsLate() {
+    Waiting late = late(waiting(1, 1, 1, 8, false, false), NOW, NOW + 20_000);
+    Waiting fresh = waiting(2, 1, 1, 8, false, false);
+    assertThat(startedJobs(decide(List.of(worker(0, 8, 0)), List.of(late, fresh), List.of(), 0)))
+        .containsExactly(2);
+  }
+
+  @Test
+  void aBurstOfOneClassServesManySmallJobsBeforeOneLarge() {
+    List<Waiting> burst =
+        List.of(
+            waiting(1, 0, 4, 8, true, false),
+            waiting(2, 0, 1, 8, false, false),
+            waiting(3, 0, 1, 8, false, false));
+    List<WorkerView> rack =
+        List.of(worker(0, 8, 0), worker(1, 8, 0), worker(2, 8, 0), worker(3, 8, 0));
+    assertThat(startedJobs(decide(rack, burst, List.of(), 0))).containsExactly(2, 3);
+  }
+
+  @Test
+  void smallWorkDoesNotEatTheRoomOfAGangThatWaits() {
+    List<WorkerView> rack = List.of(worker(0, 8, 0), worker(1, 4, 0));
+    List<Waiting> waiting =
+        List.of(waiting(1, 1, 1, 8, true, false), waiting(2, 2, 12, 1, false, false));
+    List<WorkerView> fragmented = List.of(worker(0, 4, 0), worker(1, 2, 0));
+    assertThat(startedJobs(decide(rack, waiting, List.of(), 0))).contains(1);
+    assertThat(((PlanOrder.Start) decide(fragmented, waiting, List.of(), 0).get(0)).workers())
+        .containsExactly(0, new WorkerId("w-1"), 1, new WorkerId("w-1"));
+  }
+
+  @Test
+  void workThatYieldsUsesTheRoomOfAGangThatWaits() {
+    List<Waiting> waiting =
+        List.of(waiting(1, 1, 1, 8, true, false), waiting(2, 2, 6, 1, false, true));
+    List<WorkerView> fragmented = List.of(worker(0, 4, 0), worker(1, 2, 0));
+    assertThat(((PlanOrder.Start) decide(fragmented, waiting, List.of(), 0).get(0)).workers())
+        .hasSize(6);
+  }
 }
