Prefer racks of the usual speed for urgent work

What tasks take on a rack against what was expected is learned; other work goes to slow racks first.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -55,7 +55,8 @@
   private final Journal journal;
   private final Fleet fleet;
   private final Estimates estimates = new Estimates();
-  private final PlanViews views = new PlanViews(estimates);
+  private final RackSpeeds speeds = new RackSpeeds();
+  private final PlanViews views = new PlanViews(estimates, speeds);
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final BiConsumer<JobId, JobPhase> onShown;
   private final Consumer<String> onSuperseded;
@@ -449,7 +450,7 @@
     }
     judge(track, end);
     if (end == RunEnd.DONE && attempt.state() == Attempt.State.RUNNING) {
-      estimates.observe(job.submission(), step.spec(), time.steadyMillis() - attempt.sinceMillis());
+      observe(job, step, track, time.steadyMillis() - attempt.sinceMillis());
     }
     if (step.spec().gang() && end != RunEnd.DONE) {
       stopStep(step, attempt.key().run());
@@ -461,6 +462,14 @@
     store(job);
   }
 
+  private void observe(Job job, StepProgress step, WorkerTrack track, long tookMillis) {
+    long expected = estimates.taskMillis(job.submission(), step.spec());
+    estimates.observe(job.submission(), step.spec(), tookMillis);
+    if (track.info() != null) {
+      speeds.observed(track.info().rack(), expected, tookMillis);
+    }
+  }
+
   private void judge(WorkerTrack track, RunEnd end) {
     if (end == RunEnd.DONE) {
       track.well();
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViews.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViews.java
@@ -25,10 +25,12 @@
   private static final long EXPIRY_FACTOR = 3;
 
   private final Estimates estimates;
+  private final RackSpeeds speeds;
   private final UrgentDemand urgent = new UrgentDemand();
 
-  PlanViews(Estimates estimates) {
+  PlanViews(Estimates estimates, RackSpeeds speeds) {
     this.estimates = estimates;
+    this.speeds = speeds;
   }
 
   PlanView view(
@@ -165,7 +167,7 @@
     return yielding;
   }
 
-  private static PlanView.WorkerView worker(WorkerTrack track, Map<JobId, Job> jobs) {
+  private PlanView.WorkerView worker(WorkerTrack track, Map<JobId, Job> jobs) {
     return new PlanView.WorkerView(
         track.id(),
         track.info().service(),
@@ -176,7 +178,8 @@
         track.free(true),
         track.tasksByStep(),
         yielding(track, jobs),
-        track.sickness());
+        track.sickness(),
+        speeds.slowness(track.info().rack()));
   }
 
   private static void addRunning(
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -190,20 +190,23 @@
       return groups;
     }
 
-    /** Returns the group with the least room left over among those with enough, or null. */
+    /**
+     * Returns the best group with enough room, or null: the fast racks for urgent work, the slow
+     * ones for other work, and among these the one with the least room left over.
+     */
     private List<RoomLedger.Slot> tightest(
         PlanView.Waiting waiting, List<List<RoomLedger.Slot>> groups, int members) {
-      List<RoomLedger.Slot> best = null;
-      long bestFree = Long.MAX_VALUE;
-      for (List<RoomLedger.Slot> group : groups) {
-        int fits = group.stream().mapToInt(slot -> slot.fits(waiting, members)).sum();
-        long free = group.stream().mapToLong(slot -> slot.free().accelerators()).sum();
-        if (fits >= members && free < bestFree) {
-          best = group;
-          bestFree = free;
-        }
-      }
-      return best;
+      Comparator<List<RoomLedger.Slot>> order =
+          Comparator.<List<RoomLedger.Slot>>comparingInt(
+                  group -> group.stream().mapToInt(slot -> mismatch(waiting, slot)).max().orElse(0))
+              .thenComparingLong(
+                  group -> group.stream().mapToLong(slot -> slot.free().accelerators()).sum());
+      return groups.stream()
+          .filter(
+              group ->
+                  group.stream().mapToInt(slot -> slot.fits(waiting, members)).sum() >= members)
+          .min(order)
+          .orElse(null);
     }
 
     /** Chooses workers within a group, the fullest first. */
@@ -224,13 +227,21 @@
       return chosen;
     }
 
+    /** Returns 1 where urgent work would run slowly, or other work take room on fast racks. */
+    private static int mismatch(PlanView.Waiting waiting, RoomLedger.Slot slot) {
+      boolean slow = slot.worker().slowness() >= PlanSettings.SLOW;
+      return slow == (waiting.priority() == 0) ? 1 : 0;
+    }
+
     /**
-     * Prefers sound workers, then keeps work that yields together and other work away from it, so
-     * that whole workers can be taken back at no loss, then fills the fullest.
+     * Prefers sound workers of the speed that suits the work, then keeps work that yields together
+     * and other work away from it, so that whole workers can be taken back at no loss, then fills
+     * the fullest.
      */
     private static Comparator<RoomLedger.Slot> preference(PlanView.Waiting waiting) {
       int direction = waiting.yields() ? -1 : 1;
       return Comparator.<RoomLedger.Slot>comparingInt(slot -> slot.worker().doubt())
+          .thenComparingInt(slot -> mismatch(waiting, slot))
           .thenComparingLong(slot -> (long) direction * Long.signum(slot.yielding()))
           .thenComparingLong(slot -> slot.free().accelerators())
           .thenComparingLong(slot -> slot.free().memoryMb());
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
@@ -11,6 +11,9 @@
   /** Time kept for the log and the calls between a decision and the start; two slow log answers. */
   public static final long ORDER_MARGIN_MILLIS = 800;
 
+  /** Slowness from which a rack counts as slow; above the error of what is learned of racks. */
+  public static final double SLOW = 1.15;
+
   /** Part of all accelerators that may be held for gangs that wait; the rest goes on being used. */
   private static final double HELD_PART = 0.5;
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
@@ -45,6 +45,7 @@
    * @param yielding accelerators held by less urgent work that saves its progress, so that taking
    *     them back throws nothing away
    * @param doubt evidence that it fails or stalls what it is given; 0 for none
+   * @param slowness how much longer than on the usual rack tasks take there; 1 for the usual
    */
   public record WorkerView(
       WorkerId id,
@@ -56,7 +57,8 @@
       Capacity freeAfterStops,
       Map<StepId, Integer> tasksByStep,
       long yielding,
-      int doubt) {
+      int doubt,
+      double slowness) {
     /** Copies the collections. */
     public WorkerView {
       labels = Set.copyOf(labels);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/WorldTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/WorldTest.java
@@ -21,6 +21,13 @@
 
 /** Several VMs against a log and workers in memory, calm and under random faults. */
 final class WorldTest {
+  /**
+   * Seeds that failed once: 4, 2 and 151 on ends and lists of a worker's former life, 332 on a
+   * claim that took another's remembered answer, 124 on a planner that acted on an answer it had
+   * slept over, at a worker that was born again meanwhile.
+   */
+  private static final long[] FAILED_BEFORE = {2, 4, 124, 151, 332};
+
   private static final long SETTLE_MILLIS = 120_000;
 
   private static JobId id(long number) {
@@ -51,7 +58,10 @@
   /** Seeds of CI, or those that the property names, as FROM-TO, for a longer run by hand. */
   static LongStream seeds() {
     String[] range = System.getProperty("peridotroute.world.seeds", "1-30").split("-", 2);
-    return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1]));
+    return LongStream.concat(
+            LongStream.of(FAILED_BEFORE),
+            LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1])))
+        .distinct();
   }
 
   @Test
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
@@ -41,7 +41,8 @@
         free,
         Map.of(),
         yielding,
-        0);
+        0,
+        1);
   }
 
   private static Waiting waiting(
@@ -186,7 +187,8 @@
             ROOM,
             Map.of(),
             0,
-            0);
+            0,
+            1);
     List<PlanOrder> orders =
         decide(
             List.of(clearing),
@@ -271,4 +273,30 @@
     assertThat(((PlanOrder.Start) decide(fragmented, waiting, List.of(), 0).get(0)).workers())
         .hasSize(6);
   }
+
+  private static WorkerView slow(WorkerView of) {
+    return new WorkerView(
+        of.id(),
+        of.service(),
+        of.rack(),
+        of.labels(),
+        of.capacity(),
+        of.free(),
+        of.freeAfterStops(),
+        of.tasksByStep(),
+        of.yielding(),
+        of.doubt(),
+        1.3);
+  }
+
+  @Test
+  void urgentWorkRunsOnFastRacksAndOtherWorkOnSlowOnes() {
+    List<WorkerView> racks = List.of(slow(worker(0, 8, 0)), worker(4, 8, 0));
+    List<Waiting> waiting =
+        List.of(waiting(1, 0, 1, 8, true, false), waiting(2, 1, 1, 8, true, false));
+    List<PlanOrder> orders = decide(racks, waiting, List.of(), 0);
+    assertThat(((PlanOrder.Start) orders.get(0)).workers()).containsExactly(0, new WorkerId("w-4"));
+    assertThat(((PlanOrder.Start) orders.get(1)).workers()).containsExactly(0, new WorkerId("w-0"));
+    assertThat(startedJobs(decide(List.of(racks.get(0)), waiting, List.of(), 0))).contains(1);
+  }
 }
