--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
@@ -172,8 +172,8 @@
   }
 
   private void stored(long sentAt) {
-    boolean proves = !unanswered && time.steadyMillis() - sentAt <= proofMillis;
-    unanswered = false;
+    long ageMillis = time.steadyMillis() - sentAt;
+    boolean proves = !unanswered && ageMillis <= proofMillis;
     sequence++;
     inFlight = null;
     List<Runnable> actions = afterInFlight;
@@ -182,8 +182,19 @@
       confirmedMillis = sentAt;
       actions.forEach(Runnable::run);
     } else {
+      events.info(
+          "journal-answer-no-proof",
+          "epoch",
+          term.epoch(),
+          "repeated",
+          unanswered,
+          "ageMillis",
+          ageMillis,
+          "waiting",
+          actions.size());
       waiting.addAll(0, actions);
     }
+    unanswered = false;
     flush(Long.MAX_VALUE);
   }
 }
