--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -99,13 +99,23 @@
         return;
       }
       boolean gainsNothing = waiting.priority() == 0 && isLateAnyway(waiting);
-      if (mustStart || near.isEmpty() || gainsNothing) {
+      if (mustStart || near.isEmpty() || gainsNothing || waitsBesideIdleRoom(waiting)) {
         placeAnywhere(waiting, candidates, members);
       } else {
         hold(waiting, near, members);
       }
     }
 
+    private boolean isHalfIdle() {
+      return 2 * room.unused() > room.accelerators();
+    }
+
+    /** A gang that waits for a rack while most room is idle had better run slowly. */
+    private boolean waitsBesideIdleRoom(PlanView.Waiting waiting) {
+      return isHalfIdle()
+          && view.nowMillis() - waiting.acceptedMillis() >= settings.idleWaitMillis();
+    }
+
     private boolean mayPreempt(PlanView.Waiting waiting) {
       return waiting.priority() == 0
           && (waiting.guaranteed() || !isExpired(waiting, view.nowMillis()));
@@ -118,7 +128,8 @@
      */
     private void hold(PlanView.Waiting waiting, List<List<RoomLedger.Slot>> groups, int members) {
       long need = members * waiting.spec().reserved().accelerators();
-      if (isExpired(waiting, view.nowMillis())
+      if (isHalfIdle()
+          || isExpired(waiting, view.nowMillis())
           || held + need > settings.heldPart() * room.accelerators()) {
         return;
       }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
@@ -17,6 +17,14 @@
   /** Part of all accelerators that may be held for gangs that wait; the rest goes on being used. */
   private static final double HELD_PART = 0.5;
 
+  /** Longest wait of a gang for a rack while most room is idle; half of what the users allow. */
+  private static final long IDLE_WAIT_MILLIS = 1_500;
+
+  /** Returns the longest wait of a gang for a rack while most room is idle. */
+  public long idleWaitMillis() {
+    return IDLE_WAIT_MILLIS;
+  }
+
   /** Returns the part of all accelerators that may be held for gangs that wait. */
   public double heldPart() {
     return HELD_PART;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/RoomLedger.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/RoomLedger.java
@@ -143,6 +143,11 @@
     return slots.values().stream().mapToLong(slot -> slot.worker.capacity().accelerators()).sum();
   }
 
+  /** Returns the accelerators that nothing holds once stops under way have ended. */
+  long unused() {
+    return slots.values().stream().mapToLong(slot -> Math.max(0, slot.soon.accelerators())).sum();
+  }
+
   /** Returns the accelerators that urgent work can have without any loss. */
   long withinReach() {
     return slots.values().stream().mapToLong(Slot::withinReach).sum();
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
@@ -299,4 +299,46 @@
     assertThat(((PlanOrder.Start) orders.get(1)).workers()).containsExactly(0, new WorkerId("w-0"));
     assertThat(startedJobs(decide(List.of(racks.get(0)), waiting, List.of(), 0))).contains(1);
   }
+
+  /** Returns eight workers in two racks with some room on each, so that no rack is ever whole. */
+  private static List<WorkerView> scattered(long freeAccelerators) {
+    List<WorkerView> workers = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      workers.add(worker(i, freeAccelerators, 0));
+    }
+    return workers;
+  }
+
+  private static Waiting since(Waiting of, long acceptedMillis) {
+    return new Waiting(
+        of.step(),
+        of.spec(),
+        of.service(),
+        of.tasks(),
+        of.priority(),
+        of.guaranteed(),
+        acceptedMillis,
+        of.objectiveMillis(),
+        of.expiryMillis(),
+        of.durationMillis(),
+        of.remainingMillis(),
+        of.avoid());
+  }
+
+  @Test
+  void aGangGoesAcrossRacksRatherThanWaitBesideIdleRoom() {
+    Waiting gang = waiting(1, 1, 5, 4, true, false);
+    assertThat(startedJobs(decide(scattered(6), List.of(gang), List.of(), 0))).isEmpty();
+    Waiting waited = since(gang, NOW - 2_000);
+    assertThat(startedJobs(decide(scattered(6), List.of(waited), List.of(), 0))).containsExactly(1);
+    assertThat(startedJobs(decide(scattered(4), List.of(waited), List.of(), 0))).isEmpty();
+  }
+
+  @Test
+  void noRoomIsHeldWhileMostIsIdle() {
+    Waiting gang = waiting(1, 1, 4, 7, true, false);
+    Waiting singles = waiting(2, 2, 40, 1, false, false);
+    List<PlanOrder> orders = decide(scattered(6), List.of(gang, singles), List.of(), 0);
+    assertThat(((PlanOrder.Start) orders.get(0)).workers()).hasSize(40);
+  }
 }
