--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
@@ -199,14 +199,23 @@
   }
 
   private static Waiting late(Waiting of, long objectiveMillis, long expiryMillis) {
+    return timed(of, false, of.acceptedMillis(), objectiveMillis, expiryMillis);
+  }
+
+  private static Waiting timed(
+      Waiting of,
+      boolean guaranteed,
+      long acceptedMillis,
+      long objectiveMillis,
+      long expiryMillis) {
     return new Waiting(
         of.step(),
         of.spec(),
         of.service(),
         of.tasks(),
         of.priority(),
-        false,
-        of.acceptedMillis(),
+        guaranteed,
+        acceptedMillis,
         objectiveMillis,
         expiryMillis,
         of.durationMillis(),
@@ -310,19 +319,7 @@
   }
 
   private static Waiting since(Waiting of, long acceptedMillis) {
-    return new Waiting(
-        of.step(),
-        of.spec(),
-        of.service(),
-        of.tasks(),
-        of.priority(),
-        of.guaranteed(),
-        acceptedMillis,
-        of.objectiveMillis(),
-        of.expiryMillis(),
-        of.durationMillis(),
-        of.remainingMillis(),
-        of.avoid());
+    return timed(of, of.guaranteed(), acceptedMillis, of.objectiveMillis(), of.expiryMillis());
   }
 
   @Test
