--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -279,6 +279,11 @@
               planned.add(new Planned(track, attempt));
             });
     store(job);
+    tellPlaced(start, job, step, run);
+    journal.afterStored(() -> send(job, step, planned));
+  }
+
+  private void tellPlaced(PlanOrder.Start start, Job job, StepProgress step, int run) {
     events.info(
         "step-placed",
         "job",
@@ -309,7 +314,6 @@
         time.wallMillis() - job.submission().acceptedAtMillis(),
         "epoch",
         term.epoch());
-    journal.afterStored(() -> send(job, step, planned));
   }
 
   /** A run whose intent is about to be stored. */
