--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
@@ -63,8 +63,8 @@
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /**
-   * Cores with which a VM plans for a few hundred workers without falling behind; a planner of 246
-   * workers uses 0.13 on average and several times that in a burst.
+   * Cores with which a VM plans for a few hundred workers without falling behind; five times what
+   * the planner of 246 workers used on a quiet day (docs/CAPACITY.md).
    */
   private static final double PLANNER_CORES = 0.7;
 
