Let only a worker's replies prove that its predecessor is gone

When the cut heals, a delayed heartbeat of the crashed one lists it again, after its successor and at the same address. The planner took the newer entry for the living worker, declared the runs of the successor over and started them elsewhere: two runs at once.

All ends that were wrong carry "another worker is listed with its address".

Change: a second entry with the same address makes the planner poll the other workers there. The worker that lives rejects calls meant for the crashed one, and only that ends runs.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -1,6 +1,5 @@
 package org.peridotroute.scheduler.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -128,14 +127,21 @@
           "worker-draining", "worker", info.id(), "remainingMillis", info.remainingMillis());
     }
     worker.markListed(info);
-    List<WorkerState> replaced = new ArrayList<>();
+    probeOthersAt(worker);
+  }
+
+  /**
+   * Polls the other workers with the address of a worker. At most one of them lives, but a list
+   * entry does not tell which: a delayed heartbeat may list a crashed worker after its successor.
+   */
+  private void probeOthersAt(WorkerState worker) {
     for (WorkerState other : workers.values()) {
-      boolean sameAddress = other.info() != null && other.info().address().equals(info.address());
+      boolean sameAddress =
+          other.info() != null && other.info().address().equals(worker.info().address());
       if (other != worker && sameAddress) {
-        replaced.add(other);
+        pollAgain(other);
       }
     }
-    replaced.forEach(other -> onWorkerGone(other, "another worker is listed with its address"));
   }
 
   /** Handles the removal of a worker from the list. */
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -65,8 +65,6 @@
   private static final long TICK_MILLIS = 50;
   private static final long POLL_MILLIS = 10;
   private static final double SLOW_CLOCK_RATE = 0.98;
-  private static final int MIN_LATE_MILLIS = 2_000;
-  private static final int LATE_RANGE_MILLIS = 10_000;
 
   private final VirtualTime time = new VirtualTime();
   private final Random random;
@@ -75,26 +73,15 @@
       new SimulationOracle(time, WORKER_CAPACITY, CANCEL_MILLIS);
   private final Map<String, Vm> vms = new LinkedHashMap<>();
   private final Map<WorkerId, WorkerHost> workers = new LinkedHashMap<>();
+  private final SimulatedWorkerGateway workerGateway;
   private final Map<JobId, JobRequest> requests = new HashMap<>();
   private final Set<JobId> accepted = new HashSet<>();
   private final Set<JobId> cancelled = new HashSet<>();
   private final Events events;
-  private double lateCallShare;
   private double failingTaskShare;
   private int incarnationCount;
   private boolean retrying = true;
 
-  /** A registered worker, with its current incarnation and whether the network reaches it. */
-  private static final class WorkerHost {
-    private final WorkerInfo info;
-    private WorkerModel incarnation;
-    private boolean disconnected;
-
-    WorkerHost(WorkerInfo info) {
-      this.info = info;
-    }
-  }
-
   /** A scheduler VM, whose process can be killed, restarted and paused. */
   private final class Vm {
     private final String name;
@@ -129,7 +116,7 @@
       Dispatcher.Ports ports =
           new Dispatcher.Ports(
               new SimulatedLogClient(time, random, log, () -> logFault),
-              new SimulatedWorkerGateway(),
+              workerGateway,
               control,
               time,
               events,
@@ -175,105 +162,6 @@
     }
   }
 
-  /** Network path from a VM to the workers, with latency, lost and late calls. */
-  private final class SimulatedWorkerGateway implements WorkerGateway {
-    private WorkerHost host(Target target) {
-      return workers.get(new WorkerId(target.id()));
-    }
-
-    private <T> CompletableFuture<T> call(
-        Target target, java.util.function.Function<WorkerModel, T> request, T unknown) {
-      CompletableFuture<T> answer = new CompletableFuture<>();
-      WorkerHost host = host(target);
-      boolean late = random.nextDouble() < lateCallShare;
-      WorkerModel addressee = host.incarnation;
-      time.after(
-          1 + random.nextInt(12),
-          () -> {
-            if (host.disconnected || host.incarnation.isTerminated()) {
-              time.after(DISPATCH_SETTINGS.callTimeoutMillis(), () -> answer.complete(unknown));
-            } else if (late) {
-              time.after(DISPATCH_SETTINGS.callTimeoutMillis(), () -> answer.complete(unknown));
-              time.after(
-                  MIN_LATE_MILLIS + random.nextInt(LATE_RANGE_MILLIS),
-                  () -> {
-                    // A call names the incarnation that it is for; later ones reject it.
-                    if (!addressee.isTerminated()) {
-                      addressee.advance();
-                      oracle.setLateCall(true);
-                      var unused = request.apply(addressee);
-                      oracle.setLateCall(false);
-                    }
-                  });
-            } else {
-              host.incarnation.advance();
-              T reply = request.apply(host.incarnation);
-              time.after(1 + random.nextInt(12), () -> answer.complete(reply));
-            }
-          });
-      return answer;
-    }
-
-    @Override
-    public CompletableFuture<CallReply> start(Target target, StartRequest request) {
-      return call(target, worker -> worker.start(request), new CallReply(CallOutcome.UNKNOWN, -1));
-    }
-
-    @Override
-    public CompletableFuture<CallReply> stop(Target target, TaskId task, int run, long token) {
-      return call(
-          target, worker -> worker.stop(task, run, token), new CallReply(CallOutcome.UNKNOWN, -1));
-    }
-
-    @Override
-    public CompletableFuture<PollReply> poll(Target target, PollRequest request) {
-      PollReply unknown = new PollReply(CallOutcome.UNKNOWN, -1, 0, List.of(), List.of());
-      CompletableFuture<PollReply> answer = new CompletableFuture<>();
-      WorkerHost host = host(target);
-      time.after(
-          1 + random.nextInt(12),
-          () -> {
-            if (!host.disconnected && !host.incarnation.isTerminated()) {
-              host.incarnation.acknowledge(request);
-            }
-            pollUntilAnswer(
-                host,
-                host.incarnation,
-                request,
-                time.steadyMillis() + request.waitMillis(),
-                answer,
-                unknown);
-          });
-      return answer;
-    }
-
-    private void pollUntilAnswer(
-        WorkerHost host,
-        WorkerModel worker,
-        PollRequest request,
-        long untilMillis,
-        CompletableFuture<PollReply> answer,
-        PollReply unknown) {
-      if (host.disconnected || worker.isTerminated()) {
-        time.after(DISPATCH_SETTINGS.callTimeoutMillis(), () -> answer.complete(unknown));
-        return;
-      }
-      worker.advance();
-      PollReply reply = worker.poll(request);
-      boolean answers =
-          reply.outcome() != CallOutcome.DONE
-              || worker.hasUnacknowledgedEnds(request.acknowledgedEnd())
-              || time.steadyMillis() >= untilMillis;
-      if (answers) {
-        time.after(1 + random.nextInt(12), () -> answer.complete(reply));
-      } else {
-        time.after(
-            POLL_MILLIS,
-            () -> pollUntilAnswer(host, worker, request, untilMillis, answer, unknown));
-      }
-    }
-  }
-
   /** Returns the objects that the simulation holds in memory; the records only name them. */
   private final class Decoder implements SchedulerVm.Decoder {
     @Override
@@ -344,26 +232,15 @@
   public SimulatedCluster(long seed, int vmCount, int workerCount, Events events) {
     random = new Random(seed);
     this.events = events;
+    workerGateway =
+        new SimulatedWorkerGateway(
+            time, random, oracle, workers, DISPATCH_SETTINGS.callTimeoutMillis());
     append(Topic.CONFIGURATION, "config", new byte[] {1});
     for (int i = 0; i < workerCount; i++) {
       WorkerId id = new WorkerId("w-" + i);
       String rack = "rack-" + i / WORKERS_PER_RACK;
-      workers.put(
-          id,
-          new WorkerHost(
-              new WorkerInfo(
-                  id,
-                  SERVICE,
-                  "10.0.0." + i + ":1",
-                  "dc",
-                  rack,
-                  List.of("a", rack),
-                  WORKER_CAPACITY,
-                  false,
-                  0,
-                  0)));
-      restartWorker(id);
-      append(Topic.WORKERS, id.value(), new byte[] {1});
+      addWorker(id, rack, "10.0.0." + i + ":1");
+      setListed(id, true);
     }
     for (int i = 0; i < vmCount; i++) {
       Vm vm = new Vm("vm-" + i);
@@ -373,6 +250,24 @@
     advanceWorkers();
   }
 
+  private void addWorker(WorkerId id, String rack, String address) {
+    workers.put(
+        id,
+        new WorkerHost(
+            new WorkerInfo(
+                id,
+                SERVICE,
+                address,
+                "dc",
+                rack,
+                List.of("a", rack),
+                WORKER_CAPACITY,
+                false,
+                0,
+                0)));
+    restartWorker(id);
+  }
+
   private void append(Topic topic, String key, byte[] value) {
     var unused = log.append(topic, List.of(KeyedRecord.of(key, value)), -1, null);
   }
@@ -420,6 +315,22 @@
     host.incarnation = new WorkerModel(id.value(), time, rate, new TaskEnvironment(), oracle);
   }
 
+  /**
+   * Replaces a worker by one with another id at the same address. The tasks of the former one are
+   * lost, and the new one rejects calls meant for it. The list of workers stays as it is.
+   */
+  public void replaceWorker(WorkerId id, WorkerId successor) {
+    WorkerHost host = workers.get(id);
+    host.incarnation.terminate();
+    host.replaced = true;
+    addWorker(successor, host.info.rack(), host.info.address());
+  }
+
+  /** Adds a worker to the list of workers, or removes it. */
+  public void setListed(WorkerId id, boolean listed) {
+    append(Topic.WORKERS, id.value(), listed ? new byte[] {1} : null);
+  }
+
   /** Disconnects a worker from all VMs, or reconnects it. Its tasks go on running. */
   public void cut(WorkerId id, boolean disconnected) {
     workers.get(id).disconnected = disconnected;
@@ -464,7 +375,7 @@
 
   /** Sets the share of calls that time out for the VM and are executed late. */
   public void setLateCalls(double share) {
-    lateCallShare = share;
+    workerGateway.setLateCallShare(share);
   }
 
   /** Sets the share of runs that fail. */
--- /dev/null
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
@@ -0,0 +1,157 @@
+package org.peridotroute.standin.world;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.TaskId;
+import org.peridotroute.scheduler.port.WorkerGateway;
+
+/** Network path from a VM to the workers, with latency, lost and late calls. */
+final class SimulatedWorkerGateway implements WorkerGateway {
+  private static final int MIN_LATE_MILLIS = 2_000;
+  private static final int LATE_RANGE_MILLIS = 10_000;
+
+  /** Interval at which a worker checks whether a held poll has something to report. */
+  private static final long POLL_MILLIS = 10;
+
+  private static final CallReply UNKNOWN = new CallReply(CallOutcome.UNKNOWN, -1);
+  private static final CallReply OTHER_LIFE = new CallReply(CallOutcome.OTHER_LIFE, -1);
+
+  private final VirtualTime time;
+  private final Random random;
+  private final SimulationOracle oracle;
+  private final Map<WorkerId, WorkerHost> workers;
+  private final long callTimeoutMillis;
+  private double lateCallShare;
+
+  /**
+   * Creates a path to the workers.
+   *
+   * @param workers the workers by id, which the caller may extend
+   * @param callTimeoutMillis timeout of a call
+   */
+  SimulatedWorkerGateway(
+      VirtualTime time,
+      Random random,
+      SimulationOracle oracle,
+      Map<WorkerId, WorkerHost> workers,
+      long callTimeoutMillis) {
+    this.time = time;
+    this.random = random;
+    this.oracle = oracle;
+    this.workers = workers;
+    this.callTimeoutMillis = callTimeoutMillis;
+  }
+
+  /** Sets the share of calls that time out for the VM and are executed late. */
+  void setLateCallShare(double share) {
+    lateCallShare = share;
+  }
+
+  private static PollReply failedPoll(CallOutcome outcome) {
+    return new PollReply(outcome, -1, 0, List.of(), List.of());
+  }
+
+  private WorkerHost host(Target target) {
+    return workers.get(new WorkerId(target.id()));
+  }
+
+  private <T> CompletableFuture<T> call(
+      Target target, Function<WorkerModel, T> request, T unknown, T otherLife) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    WorkerHost host = host(target);
+    boolean late = random.nextDouble() < lateCallShare;
+    WorkerModel addressee = host.incarnation;
+    time.after(
+        1 + random.nextInt(12),
+        () -> {
+          if (host.replaced && !host.disconnected) {
+            time.after(1 + random.nextInt(12), () -> answer.complete(otherLife));
+          } else if (host.disconnected || host.incarnation.isTerminated()) {
+            time.after(callTimeoutMillis, () -> answer.complete(unknown));
+          } else if (late) {
+            time.after(callTimeoutMillis, () -> answer.complete(unknown));
+            time.after(
+                MIN_LATE_MILLIS + random.nextInt(LATE_RANGE_MILLIS),
+                () -> {
+                  // A call names the incarnation that it is for; later ones reject it.
+                  if (!addressee.isTerminated()) {
+                    addressee.advance();
+                    oracle.setLateCall(true);
+                    var unused = request.apply(addressee);
+                    oracle.setLateCall(false);
+                  }
+                });
+          } else {
+            host.incarnation.advance();
+            T reply = request.apply(host.incarnation);
+            time.after(1 + random.nextInt(12), () -> answer.complete(reply));
+          }
+        });
+    return answer;
+  }
+
+  @Override
+  public CompletableFuture<CallReply> start(Target target, StartRequest request) {
+    return call(target, worker -> worker.start(request), UNKNOWN, OTHER_LIFE);
+  }
+
+  @Override
+  public CompletableFuture<CallReply> stop(Target target, TaskId task, int run, long token) {
+    return call(target, worker -> worker.stop(task, run, token), UNKNOWN, OTHER_LIFE);
+  }
+
+  @Override
+  public CompletableFuture<PollReply> poll(Target target, PollRequest request) {
+    PollReply unknown = failedPoll(CallOutcome.UNKNOWN);
+    CompletableFuture<PollReply> answer = new CompletableFuture<>();
+    WorkerHost host = host(target);
+    time.after(
+        1 + random.nextInt(12),
+        () -> {
+          if (!host.disconnected && !host.incarnation.isTerminated()) {
+            host.incarnation.acknowledge(request);
+          }
+          pollUntilAnswer(
+              host,
+              host.incarnation,
+              request,
+              time.steadyMillis() + request.waitMillis(),
+              answer,
+              unknown);
+        });
+    return answer;
+  }
+
+  private void pollUntilAnswer(
+      WorkerHost host,
+      WorkerModel worker,
+      PollRequest request,
+      long untilMillis,
+      CompletableFuture<PollReply> answer,
+      PollReply unknown) {
+    if (host.replaced && !host.disconnected) {
+      time.after(1 + random.nextInt(12), () -> answer.complete(failedPoll(CallOutcome.OTHER_LIFE)));
+      return;
+    }
+    if (host.disconnected || worker.isTerminated()) {
+      time.after(callTimeoutMillis, () -> answer.complete(unknown));
+      return;
+    }
+    worker.advance();
+    PollReply reply = worker.poll(request);
+    boolean answers =
+        reply.outcome() != CallOutcome.DONE
+            || worker.hasUnacknowledgedEnds(request.acknowledgedEnd())
+            || time.steadyMillis() >= untilMillis;
+    if (answers) {
+      time.after(1 + random.nextInt(12), () -> answer.complete(reply));
+    } else {
+      time.after(
+          POLL_MILLIS, () -> pollUntilAnswer(host, worker, request, untilMillis, answer, unknown));
+    }
+  }
+}
--- /dev/null
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
@@ -0,0 +1,17 @@
+package org.peridotroute.standin.world;
+
+import org.peridotroute.scheduler.model.WorkerInfo;
+
+/** A worker of the simulation: its current incarnation and how the network reaches it. */
+final class WorkerHost {
+  final WorkerInfo info;
+  WorkerModel incarnation;
+  boolean disconnected;
+
+  /** Whether another worker has taken over the address; it rejects calls meant for this one. */
+  boolean replaced;
+
+  WorkerHost(WorkerInfo info) {
+    this.info = info;
+  }
+}
