--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -32,6 +32,7 @@
   private final boolean current;
   private State state;
   private boolean stopRequested;
+  private long stopRequestedMillis;
   private boolean stopInFlight;
   private boolean ended;
   private long settledSequence = Long.MAX_VALUE;
@@ -82,8 +83,20 @@
     return stopRequested;
   }
 
-  void requestStop() {
-    stopRequested = true;
+  void requestStop(long nowMillis) {
+    if (!stopRequested) {
+      stopRequested = true;
+      stopRequestedMillis = nowMillis;
+    }
+  }
+
+  /**
+   * Returns whether a stop was requested and may still be expected to end the run in time.
+   *
+   * @param maxStopMillis time within which a stop should have ended
+   */
+  boolean isStopping(long nowMillis, long maxStopMillis) {
+    return stopRequested && nowMillis - stopRequestedMillis <= maxStopMillis;
   }
 
   boolean isStopCallDue(long nowMillis) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
@@ -14,6 +14,7 @@
  * @param stopMillis longest time that stopping a task takes
  * @param farFactor factor by which a task takes longer away from its data or its gang's rack
  * @param heartbeatMillis time between two heartbeats of a worker
+ * @param linkBytesPerSecond capacity of this VM's network link
  */
 public record DispatchSettings(
     long leaseMillis,
@@ -24,7 +25,8 @@
     long reclaimMillis,
     long stopMillis,
     double farFactor,
-    long heartbeatMillis) {
+    long heartbeatMillis,
+    long linkBytesPerSecond) {
   /**
    * Factor by which a worker's clock may run slow: the bound given by the worker interface plus a
    * margin.
@@ -40,6 +42,19 @@
    */
   private static final long PROOF_RENEWALS = 3;
 
+  /**
+   * Time that all starts under way may occupy the link; a fraction of the timeout of a call, so
+   * that starts, renewals and appends get their replies in time.
+   */
+  private static final long MAX_START_LINK_MILLIS = 150;
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  /** Returns the bytes of starts that may be under way at once. */
+  public long maxStartBytesInFlight() {
+    return linkBytesPerSecond * MAX_START_LINK_MILLIS / MILLIS_PER_SECOND;
+  }
+
   /** Returns the age up to which an append reply proves that no other planner has taken over. */
   public long maxProofAgeMillis() {
     return PROOF_RENEWALS * renewMillis;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -1,12 +1,14 @@
 package org.peridotroute.scheduler.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
@@ -15,8 +17,10 @@
 import org.peridotroute.scheduler.model.StepId;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.model.WorkerInfo;
+import org.peridotroute.scheduler.plan.CapacityClaim;
 import org.peridotroute.scheduler.plan.PlacementDecision;
 import org.peridotroute.scheduler.plan.Placer;
+import org.peridotroute.scheduler.plan.PlanSettings;
 import org.peridotroute.scheduler.plan.PlanView;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.KeyedLog;
@@ -62,8 +66,9 @@
   private final WorkerManager workerManager;
   private final DurationEstimator durationEstimator = new DurationEstimator();
   private final RackSpeeds rackSpeeds = new RackSpeeds();
-  private final PlanViewBuilder viewBuilder = new PlanViewBuilder(durationEstimator, rackSpeeds);
+  private final PlanViewBuilder viewBuilder;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
+  private final Map<StepId, CapacityClaim> claims = new HashMap<>();
   private final BiConsumer<JobId, JobPhase> onPhaseStored;
   private final Consumer<String> onSuperseded;
   private Configuration configuration;
@@ -112,6 +117,11 @@
     time = ports.time();
     events = ports.events();
     placer = ports.placer();
+    viewBuilder =
+        new PlanViewBuilder(
+            durationEstimator,
+            rackSpeeds,
+            settings.stopMillis() + PlanSettings.START_MARGIN_MILLIS);
     journal =
         new Journal(
             ports.log(),
@@ -173,7 +183,7 @@
               key, step.spec().reserved(), Attempt.State.UNCERTAIN, true, time.steadyMillis());
       attempt.markSettled(0);
       if (incomplete) {
-        attempt.requestStop();
+        attempt.requestStop(time.steadyMillis());
       }
       workerManager.getOrCreate(task.worker()).attemptsByKey().put(key, attempt);
     }
@@ -253,13 +263,29 @@
       }
     }
     PlanView view =
-        viewBuilder.build(jobs.values(), jobs, workerManager.workers(), configuration, now, wall);
+        viewBuilder.build(
+            jobs.values(),
+            jobs,
+            workerManager.workers(),
+            configuration,
+            claims.values(),
+            now,
+            wall);
+    claims
+        .keySet()
+        .retainAll(
+            view.pendingSteps().stream()
+                .map(PlanView.PendingStep::step)
+                .collect(Collectors.toSet()));
     if (view.pendingSteps().isEmpty()) {
       return;
     }
     for (PlacementDecision decision : placer.decide(view)) {
       if (decision instanceof PlacementDecision.Start start) {
+        claims.remove(start.step());
         assignTasks(start, now);
+      } else if (decision instanceof PlacementDecision.Reserve reserve) {
+        claims.put(reserve.claim().step(), reserve.claim());
       } else if (decision instanceof PlacementDecision.Preempt preempt) {
         preempt(preempt);
       }
@@ -350,7 +376,10 @@
         workerManager.sendStart(
             planned.workerState(),
             planned.attempt(),
-            new WorkerManager.StartParameters(job.submission().request().payload(), checkpoint));
+            new WorkerManager.StartParameters(
+                job.submission().request().payload(),
+                checkpoint,
+                job.submission().terms().priority()));
       }
     }
   }
@@ -397,7 +426,7 @@
             .attemptsByKey()
             .get(new Attempt.Key(new TaskId(step.id(), index), run));
     if (attempt != null) {
-      attempt.requestStop();
+      attempt.requestStop(time.steadyMillis());
     }
   }
 
@@ -405,7 +434,7 @@
     for (WorkerState workerState : workerManager.workers()) {
       for (Attempt attempt : workerState.attempts()) {
         if (attempt.key().task().job().equals(job.submission().id())) {
-          attempt.requestStop();
+          attempt.requestStop(time.steadyMillis());
         }
       }
     }
@@ -508,6 +537,11 @@
     return time.steadyMillis() - journal.confirmedMillis() <= settings.maxUnconfirmedMillis();
   }
 
+  @Override
+  public boolean mayStart() {
+    return time.steadyMillis() - journal.confirmedMillis() <= settings.maxProofAgeMillis();
+  }
+
   @Override
   public void onFenced(WorkerId by) {
     stepDown("worker " + by + " has seen a greater fencing token");
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -13,6 +13,7 @@
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
+import org.peridotroute.scheduler.plan.CapacityClaim;
 import org.peridotroute.scheduler.plan.PlanView;
 import org.peridotroute.scheduler.table.Job;
 import org.peridotroute.scheduler.table.Occurrence;
@@ -28,9 +29,16 @@
 
   private final DurationEstimator durationEstimator;
   private final RackSpeeds rackSpeeds;
+  private final long maxStopMillis;
   private final UrgentDemand urgentDemand = new UrgentDemand();
 
-  PlanViewBuilder(DurationEstimator durationEstimator, RackSpeeds rackSpeeds) {
+  /**
+   * Creates a builder.
+   *
+   * @param maxStopMillis time within which a run should have ended after its stop was requested
+   */
+  PlanViewBuilder(DurationEstimator durationEstimator, RackSpeeds rackSpeeds, long maxStopMillis) {
+    this.maxStopMillis = maxStopMillis;
     this.durationEstimator = durationEstimator;
     this.rackSpeeds = rackSpeeds;
   }
@@ -40,6 +48,7 @@
       Map<JobId, Job> jobsById,
       Collection<WorkerState> workerStates,
       Configuration configuration,
+      Collection<CapacityClaim> claims,
       long nowMillis,
       long wallMillis) {
     Set<JobId> guaranteed = guaranteedJobs(jobs, configuration);
@@ -53,14 +62,15 @@
     List<PlanView.RunningTask> runningTasks = new ArrayList<>();
     for (WorkerState workerState : workerStates) {
       if (workerState.info() != null && workerState.isUsable(nowMillis)) {
-        workers.add(workerView(workerState, jobsById));
+        workers.add(workerView(workerState, jobsById, nowMillis));
       }
-      addRunningTasks(runningTasks, workerState, jobsById, nowMillis);
+      addRunningTasks(runningTasks, workerState, jobsById, guaranteed, nowMillis);
     }
     long urgentReserve =
         urgentDemand.updateHeadroom(
             urgentInUse(workerStates, jobsById) + urgentPending(pendingSteps), nowMillis);
-    return new PlanView(nowMillis, workers, pendingSteps, runningTasks, urgentReserve);
+    return new PlanView(
+        nowMillis, workers, pendingSteps, runningTasks, urgentReserve, List.copyOf(claims));
   }
 
   /** Returns the urgent jobs that the guarantees of their organisations cover, oldest first. */
@@ -174,15 +184,16 @@
     return accelerators;
   }
 
-  private PlanView.WorkerView workerView(WorkerState workerState, Map<JobId, Job> jobsById) {
+  private PlanView.WorkerView workerView(
+      WorkerState workerState, Map<JobId, Job> jobsById, long nowMillis) {
     return new PlanView.WorkerView(
         workerState.id(),
         workerState.info().service(),
         workerState.info().rack(),
         Set.copyOf(workerState.info().labels()),
         workerState.info().capacity(),
-        workerState.free(false),
-        workerState.free(true),
+        workerState.free(),
+        workerState.freeAfterStops(nowMillis, maxStopMillis),
         workerState.tasksByStep(),
         preemptibleAccelerators(workerState, jobsById),
         workerState.consecutiveFailures(),
@@ -193,6 +204,7 @@
       List<PlanView.RunningTask> runningTasks,
       WorkerState workerState,
       Map<JobId, Job> jobsById,
+      Set<JobId> guaranteed,
       long nowMillis) {
     for (Attempt attempt : workerState.attempts()) {
       Job job = jobsById.get(attempt.key().task().job());
@@ -215,6 +227,7 @@
               workerState.id(),
               attempt.held(),
               job.submission().terms().priority(),
+              guaranteed.contains(job.submission().id()),
               spec.gang(),
               attempt.unsavedMillis(spec.checkpoints(), nowMillis)));
     }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -60,6 +60,9 @@
     /** Returns whether the log has confirmed the term recently, so that leases may be extended. */
     boolean mayExtendLeases();
 
+    /** Returns whether the log has proved the term so recently that runs may be started. */
+    boolean mayStart();
+
     /** Called when a worker has seen a greater fencing token. */
     void onFenced(WorkerId by);
 
@@ -75,6 +78,7 @@
   private final Events events;
   private final Listener listener;
   private final Map<WorkerId, WorkerState> workers = new TreeMap<>();
+  private final StartQueue starts;
   private final long inheritedLeasesExpireMillis;
   private long lastSequence;
   private boolean closed;
@@ -94,6 +98,7 @@
     this.time = time;
     this.events = events;
     this.listener = listener;
+    starts = new StartQueue(settings.maxStartBytesInFlight());
     inheritedLeasesExpireMillis =
         time.steadyMillis() + settings.maxUnconfirmedMillis() + settings.leaseExpiryMillis();
   }
@@ -155,9 +160,10 @@
     listener.onChanged();
   }
 
-  /** Sends the polls and stops that are due and ends the runs whose leases have expired. */
+  /** Sends the calls that are due and ends the runs whose leases have expired. */
   void tick() {
     long now = time.steadyMillis();
+    sendWaitingStarts();
     for (WorkerState worker : List.copyOf(workers.values())) {
       expireLeases(worker, now);
       if (worker.info() == null) {
@@ -366,7 +372,7 @@
       worker.attemptsByKey().put(key, attempt);
       if (!attempt.isCurrent()) {
         events.warn("stray-run", "worker", worker.id(), "task", key.task(), "run", key.run());
-        attempt.requestStop();
+        attempt.requestStop(now);
       }
     }
     if (attempt.state() != Attempt.State.RUNNING) {
@@ -389,26 +395,54 @@
     endAttempt(worker, attempt, task.end(), task.checkpoint(), "reported by the worker");
   }
 
-  /** Sends the start of an attempt whose assignment is on the log. */
+  /** Sends the start of an attempt whose assignment is on the log, as soon as the link allows. */
   void sendStart(WorkerState worker, Attempt attempt, StartParameters parameters) {
+    starts.add(worker, attempt, parameters);
+    sendWaitingStarts();
+  }
+
+  private void sendWaitingStarts() {
+    while (!closed && listener.mayStart()) {
+      StartQueue.Waiting next = starts.poll();
+      if (next == null) {
+        return;
+      }
+      if (next.attempt().isEnded()) {
+        continue;
+      }
+      if (next.attempt().isStopRequested()) {
+        withdraw(next.worker(), next.attempt(), "stopped before the start was sent");
+      } else if (!next.worker().isUsable(time.steadyMillis())) {
+        withdraw(next.worker(), next.attempt(), "the assigned worker is no longer usable");
+      } else {
+        next.attempt().moveTo(Attempt.State.SENT, time.steadyMillis());
+        send(next);
+      }
+    }
+  }
+
+  private void send(StartQueue.Waiting start) {
+    starts.onSent(start);
+    WorkerState worker = start.worker();
     long now = time.steadyMillis();
-    attempt.moveTo(Attempt.State.SENT, now);
     worker.onLeaseGranted(now + settings.leaseExpiryMillis());
     StartRequest request =
         new StartRequest(
-            attempt.key().task(),
-            attempt.key().run(),
-            parameters.payload(),
+            start.attempt().key().task(),
+            start.attempt().key().run(),
+            start.parameters().payload(),
             worker.clockMillis(now) + settings.leaseMillis(),
             term.token(),
-            parameters.checkpoint(),
+            start.parameters().checkpoint(),
             null);
     Replies.deliver(
         gateway.start(worker.target(), request),
         control,
         reply -> {
+          starts.onReturned(start);
           if (!closed) {
-            onStartReply(worker, attempt, reply);
+            onStartReply(start, reply, now);
+            sendWaitingStarts();
           }
         });
   }
@@ -418,8 +452,9 @@
    *
    * @param payload the payload of the job
    * @param checkpoint saved progress, empty for none
+   * @param priority priority of the job; urgent starts are sent first
    */
-  record StartParameters(String payload, String checkpoint) {}
+  record StartParameters(String payload, String checkpoint, int priority) {}
 
   private void recordReplyClock(WorkerState worker, CallReply reply) {
     if (reply.clockMillis() >= 0 && worker.onReplyClock(reply.clockMillis(), time.steadyMillis())) {
@@ -428,11 +463,15 @@
     }
   }
 
-  private void onStartReply(WorkerState worker, Attempt attempt, CallReply reply) {
+  private void onStartReply(StartQueue.Waiting start, CallReply reply, long sentMillis) {
+    WorkerState worker = start.worker();
+    Attempt attempt = start.attempt();
     recordReplyClock(worker, reply);
     if (attempt.isEnded()) {
       return;
     }
+    boolean repeated = attempt.state() == Attempt.State.UNCERTAIN;
+    boolean mayRepeat = !repeated && !attempt.isStopRequested() && listener.mayStart();
     switch (reply.outcome()) {
       case DONE -> {
         attempt.moveTo(Attempt.State.RUNNING, time.steadyMillis());
@@ -444,18 +483,35 @@
         return;
       }
       case UNKNOWN -> {
+        if (worker.lastReplyMillis() < sentMillis) {
+          worker.onNoReply();
+        }
+        if (attempt.state() == Attempt.State.RUNNING) {
+          return;
+        }
         attempt.moveTo(Attempt.State.UNCERTAIN, time.steadyMillis());
-        attempt.requestStop();
-        worker.onNoReply();
-        sendStop(worker, attempt);
+        if (mayRepeat) {
+          // Harmless if the first call has taken effect or does so later.
+          send(start);
+        } else {
+          stopUncertain(worker, attempt);
+        }
       }
       case OTHER_LIFE -> onWorkerGone(worker, "another incarnation replied at its address");
       case INVALID ->
           endAttempt(
               worker, attempt, RunEnd.FAILED, "", "the worker rejected the start as malformed");
       default -> {
-        worker.quarantine(time.steadyMillis() + REFUSAL_QUARANTINE_MILLIS);
-        endAttempt(worker, attempt, RunEnd.STOPPED, "", "start refused: " + reply.outcome());
+        if (attempt.state() == Attempt.State.RUNNING) {
+          return;
+        }
+        if (repeated) {
+          // The first call may have started the run, or may still do so.
+          stopUncertain(worker, attempt);
+        } else {
+          worker.quarantine(time.steadyMillis() + REFUSAL_QUARANTINE_MILLIS);
+          endAttempt(worker, attempt, RunEnd.STOPPED, "", "start refused: " + reply.outcome());
+        }
       }
     }
     events.warn(
@@ -467,7 +523,17 @@
         "worker",
         worker.id(),
         "outcome",
-        reply.outcome());
+        reply.outcome(),
+        "repeated",
+        repeated);
+  }
+
+  /** Stops a run of which it is not known whether it has started, or will. */
+  private void stopUncertain(WorkerState worker, Attempt attempt) {
+    attempt.requestStop(time.steadyMillis());
+    if (attempt.isStopCallDue(time.steadyMillis())) {
+      sendStop(worker, attempt);
+    }
   }
 
   private void sendStop(WorkerState worker, Attempt attempt) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.StepId;
@@ -35,6 +36,7 @@
   private long pollSequence;
   private boolean pollInFlight;
   private int unansweredCalls;
+  private long lastReplyMillis = Long.MIN_VALUE;
   private long nextPollMillis;
   private long quarantinedUntilMillis;
   private int consecutiveFailures;
@@ -108,6 +110,7 @@
    */
   boolean onReplyClock(long workerClockMillis, long nowMillis) {
     unansweredCalls = 0;
+    lastReplyMillis = nowMillis;
     if (workerClockMillis < 0) {
       return false;
     }
@@ -120,6 +123,11 @@
     return restarted;
   }
 
+  /** Returns the steady time of the last reply, {@code Long.MIN_VALUE} before the first. */
+  long lastReplyMillis() {
+    return lastReplyMillis;
+  }
+
   void onNoReply() {
     unansweredCalls++;
   }
@@ -235,19 +243,29 @@
     return consecutiveFailures;
   }
 
+  /** Returns the capacity that no run holds. */
+  Capacity free() {
+    return info.capacity().minus(heldBy(attempt -> true));
+  }
+
   /**
-   * Returns the capacity that no run holds.
+   * Returns the capacity that will be free once the runs that are being stopped have ended. A stop
+   * that takes longer than it should is not counted, since nobody knows when it will end.
    *
-   * @param afterStops whether to count runs with a requested stop as ended
+   * @param maxStopMillis time within which a stop should have ended
    */
-  Capacity free(boolean afterStops) {
-    Capacity free = info.capacity();
+  Capacity freeAfterStops(long nowMillis, long maxStopMillis) {
+    return info.capacity().minus(heldBy(attempt -> !attempt.isStopping(nowMillis, maxStopMillis)));
+  }
+
+  private Capacity heldBy(Predicate<Attempt> filter) {
+    Capacity held = Capacity.NONE;
     for (Attempt attempt : attemptsByKey.values()) {
-      if (!afterStops || !attempt.isStopRequested()) {
-        free = free.minus(attempt.held());
+      if (filter.test(attempt)) {
+        held = held.plus(attempt.held());
       }
     }
-    return free;
+    return held;
   }
 
   Map<StepId, Integer> tasksByStep() {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
@@ -20,6 +20,7 @@
     private Capacity free;
     private Capacity freeForPreemptible;
     private Capacity freeAfterStops;
+    private Capacity claimed = Capacity.NONE;
     private long preemptibleAccelerators;
 
     private Entry(PlanView.WorkerView worker) {
@@ -39,8 +40,9 @@
       return free;
     }
 
+    /** Returns the capacity that is free and unclaimed once all pending stops have ended. */
     Capacity freeAfterStops() {
-      return freeAfterStops;
+      return freeAfterStops.minus(claimed);
     }
 
     /**
@@ -51,7 +53,8 @@
     int countFitting(PlanView.PendingStep pending, int limit) {
       Capacity usable =
           pending.isPreemptibleWithoutLoss() && !pending.spec().gang() ? freeForPreemptible : free;
-      return limitCount(pending, usable.maxCount(pending.spec().reserved()), limit);
+      Capacity unclaimed = claimed.equals(Capacity.NONE) ? usable : min(usable, freeAfterStops());
+      return limitCount(pending, unclaimed.maxCount(pending.spec().reserved()), limit);
     }
 
     /**
@@ -60,7 +63,7 @@
      * @param limit upper bound of the result
      */
     int countFittingAfterStops(PlanView.PendingStep pending, int limit) {
-      return limitCount(pending, freeAfterStops.maxCount(pending.spec().reserved()), limit);
+      return limitCount(pending, freeAfterStops().maxCount(pending.spec().reserved()), limit);
     }
 
     /**
@@ -104,6 +107,22 @@
       tasksByStep.merge(pending.step(), 1, Integer::sum);
     }
 
+    /**
+     * Claims capacity for tasks of a step, which no other step gets until the claim is released.
+     */
+    void claim(PlanView.PendingStep pending, int tasks) {
+      for (int i = 0; i < tasks; i++) {
+        claimed = claimed.plus(pending.spec().reserved());
+      }
+    }
+
+    /** Releases a claim, when it is the turn of its step. */
+    void releaseClaim(PlanView.PendingStep pending, int tasks) {
+      for (int i = 0; i < tasks; i++) {
+        claimed = claimed.minus(pending.spec().reserved());
+      }
+    }
+
     /** Makes capacity that a reservation waits for unavailable to later steps of the pass. */
     void protectReservation() {
       free = min(free, freeAfterStops);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -6,13 +6,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.StepId;
 
 /**
  * Places pending steps by priority, then guarantee, then by whether they can still meet their
  * objective. A gang goes into the best-fitting rack; single tasks go to the fullest workers, so
  * that whole racks stay free. Urgent steps may preempt lower-priority work, unless they are expired
- * and no guarantee covers them; the victims are those that lose the least work. Immutable.
+ * and no guarantee covers them; the victims are those that lose the least work. What they free
+ * stays claimed for the step over the following passes. Immutable.
  */
 public final class GangFirstPlacer implements Placer {
   private final PlanSettings settings;
@@ -57,6 +60,7 @@
     private final CapacityLedger ledger;
     private final VictimSelector victimSelector;
     private final List<PlacementDecision> decisions = new ArrayList<>();
+    private final Map<StepId, CapacityClaim> claims = new HashMap<>();
     private long heldAccelerators;
 
     Pass(PlanView view) {
@@ -68,7 +72,14 @@
     List<PlacementDecision> run() {
       List<PlanView.PendingStep> queue = new ArrayList<>(view.pendingSteps());
       queue.sort(queueOrder(view.nowMillis()));
+      applyClaims(queue, true);
+      boolean allClaimsApplied = false;
       for (PlanView.PendingStep pending : queue) {
+        if (!pending.guaranteed() && !allClaimsApplied) {
+          applyClaims(queue, false);
+          allClaimsApplied = true;
+        }
+        releaseClaim(pending);
         List<CapacityLedger.Entry> candidates = ledger.candidates(pending);
         if (pending.spec().gang()) {
           placeGang(pending, candidates);
@@ -79,6 +90,71 @@
       return decisions;
     }
 
+    /**
+     * Applies the claims of earlier passes that can still be met. Those of steps without a
+     * guarantee come after all guaranteed steps, which may take their capacity.
+     */
+    private void applyClaims(List<PlanView.PendingStep> queue, boolean guaranteed) {
+      Map<StepId, CapacityClaim> byStep = new HashMap<>();
+      view.claims().forEach(claim -> byStep.put(claim.step(), claim));
+      for (PlanView.PendingStep pending : queue) {
+        CapacityClaim claim = byStep.get(pending.step());
+        if (claim == null || pending.guaranteed() != guaranteed || !canMeet(pending, claim)) {
+          continue;
+        }
+        claims.put(claim.step(), claim);
+        claim
+            .tasksByWorker()
+            .forEach((worker, tasks) -> ledger.entry(worker).claim(pending, tasks));
+      }
+    }
+
+    private boolean canMeet(PlanView.PendingStep pending, CapacityClaim claim) {
+      return claim.tasksByWorker().entrySet().stream()
+          .allMatch(
+              claimed -> {
+                CapacityLedger.Entry entry = ledger.entry(claimed.getKey());
+                return entry != null
+                    && !pending.excludedWorkers().contains(claimed.getKey())
+                    && entry.countFittingAfterStops(pending, claimed.getValue())
+                        >= claimed.getValue();
+              });
+    }
+
+    private void releaseClaim(PlanView.PendingStep pending) {
+      CapacityClaim claim = claims.get(pending.step());
+      if (claim != null) {
+        claim
+            .tasksByWorker()
+            .forEach((worker, tasks) -> ledger.entry(worker).releaseClaim(pending, tasks));
+      }
+    }
+
+    /**
+     * Returns whether the claim of a step provides for its remaining tasks, and keeps their
+     * capacity if it does.
+     */
+    private boolean keepClaim(PlanView.PendingStep pending, int remaining) {
+      CapacityClaim claim = claims.get(pending.step());
+      if (claim == null) {
+        return false;
+      }
+      List<CapacityLedger.Entry> entries =
+          claim.tasksByWorker().keySet().stream().sorted().map(ledger::entry).toList();
+      int fitting =
+          entries.stream()
+              .mapToInt(
+                  entry ->
+                      entry.countFittingAfterStops(
+                          pending, claim.tasksByWorker().get(entry.worker().id())))
+              .sum();
+      if (fitting < remaining) {
+        return false;
+      }
+      reserve(pending, entries, remaining);
+      return true;
+    }
+
     private void placeGang(PlanView.PendingStep pending, List<CapacityLedger.Entry> candidates) {
       int members = pending.tasks().size();
       List<List<CapacityLedger.Entry>> groups = fullSpeedGroups(pending, candidates, members);
@@ -91,23 +167,29 @@
         addStart(pending, allocate(pending, best, members));
         return;
       }
-      if (reserveStoppingCapacity(pending, groups, members)) {
+      if (keepClaim(pending, members) || reserveStoppingCapacity(pending, groups, members)) {
         return;
       }
-      boolean reclaimDue =
-          pending.guaranteed()
-              && view.nowMillis() - pending.waitingSinceMillis() >= settings.crossRackAfterMillis();
       if (mayPreempt(pending) && preempt(pending, groups, members)) {
         return;
       }
       boolean urgentAndLate = pending.priority() == 0 && willMissObjective(pending);
-      if (reclaimDue || groups.isEmpty() || urgentAndLate || hasWaitedWhileIdle(pending)) {
+      if (isReclaimDue(pending)
+          || groups.isEmpty()
+          || urgentAndLate
+          || hasWaitedWhileIdle(pending)) {
         placeAcrossRacks(pending, candidates, members);
       } else {
         hold(pending, groups, members);
       }
     }
 
+    /** Returns whether a guaranteed step has to get its capacity now to start within its bound. */
+    private boolean isReclaimDue(PlanView.PendingStep pending) {
+      return pending.guaranteed()
+          && view.nowMillis() - pending.waitingSinceMillis() >= settings.crossRackAfterMillis();
+    }
+
     private boolean isMostlyIdle() {
       return 2 * ledger.unusedAccelerators() > ledger.totalAccelerators();
     }
@@ -311,6 +393,7 @@
 
     private void reserve(
         PlanView.PendingStep pending, List<CapacityLedger.Entry> group, int members) {
+      Map<WorkerId, Integer> tasksByWorker = new HashMap<>();
       int remaining = members;
       for (CapacityLedger.Entry entry : group) {
         int count = entry.countFittingAfterStops(pending, remaining);
@@ -319,15 +402,41 @@
         }
         entry.protectReservation();
         remaining -= count;
+        if (count > 0) {
+          tasksByWorker.put(entry.worker().id(), count);
+        }
+      }
+      if (mayPreempt(pending)) {
+        decisions.add(
+            new PlacementDecision.Reserve(new CapacityClaim(pending.step(), tasksByWorker)));
       }
     }
 
+    /**
+     * Stops less urgent runs so that the step fits. A guaranteed step that would otherwise start
+     * too late also stops runs of its own priority that borrow what other organisations do not use.
+     */
     private boolean preempt(
         PlanView.PendingStep pending, List<List<CapacityLedger.Entry>> groups, int members) {
+      return preempt(pending, groups, members, run -> run.priority() > pending.priority())
+          || (isReclaimDue(pending)
+              && preempt(
+                  pending,
+                  groups,
+                  members,
+                  run -> run.priority() >= pending.priority() && !run.guaranteed()));
+    }
+
+    private boolean preempt(
+        PlanView.PendingStep pending,
+        List<List<CapacityLedger.Entry>> groups,
+        int members,
+        Predicate<PlanView.RunningTask> eligible) {
       VictimSelector.Selection best = null;
       List<CapacityLedger.Entry> target = null;
       for (List<CapacityLedger.Entry> group : groups) {
-        VictimSelector.Selection selection = victimSelector.selectCheapest(pending, group, members);
+        VictimSelector.Selection selection =
+            victimSelector.selectCheapest(pending, group, members, eligible);
         if (selection != null && (best == null || selection.cost() < best.cost())) {
           best = selection;
           target = group;
@@ -384,7 +493,8 @@
       int remaining = pending.tasks().size() - assignment.size();
       if (remaining > 0 && mayPreempt(pending)) {
         List<CapacityLedger.Entry> target = nearData.isEmpty() ? candidates : nearData;
-        if (!reserveStoppingCapacity(pending, List.of(target), remaining)) {
+        if (!keepClaim(pending, remaining)
+            && !reserveStoppingCapacity(pending, List.of(target), remaining)) {
           preempt(pending, List.of(target), remaining);
         }
       }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlacementDecision.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlacementDecision.java
@@ -32,4 +32,12 @@
    * @param beneficiary the step that gets the capacity
    */
   record Preempt(TaskId task, int run, StepId beneficiary) implements PlacementDecision {}
+
+  /**
+   * Claims capacity that stops will free, so that later passes keep it for the step until the step
+   * starts.
+   *
+   * @param claim the claim; it replaces an earlier one of the same step
+   */
+  record Reserve(CapacityClaim claim) implements PlacementDecision {}
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
@@ -17,18 +17,21 @@
  * @param pendingSteps steps with waiting tasks whose dependencies are done
  * @param runningTasks running tasks that may be preempted
  * @param urgentReserve accelerators to keep available without loss for urgent work expected soon
+ * @param claims capacity that earlier passes are freeing for pending steps
  */
 public record PlanView(
     long nowMillis,
     List<WorkerView> workers,
     List<PendingStep> pendingSteps,
     List<RunningTask> runningTasks,
-    long urgentReserve) {
+    long urgentReserve,
+    List<CapacityClaim> claims) {
   /** Copies the lists. */
   public PlanView {
     workers = List.copyOf(workers);
     pendingSteps = List.copyOf(pendingSteps);
     runningTasks = List.copyOf(runningTasks);
+    claims = List.copyOf(claims);
   }
 
   /**
@@ -145,6 +148,7 @@
    * @param worker the worker that runs it
    * @param held capacity that it holds
    * @param priority priority of its job, 0 for the most urgent
+   * @param guaranteed whether the guarantee of its organisation covers it
    * @param gang whether the whole step ends with it
    * @param unsavedMillis run time that a stop would lose
    */
@@ -154,6 +158,7 @@
       WorkerId worker,
       Capacity held,
       int priority,
+      boolean guaranteed,
       boolean gang,
       long unsavedMillis) {}
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/VictimSelector.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/VictimSelector.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.StepId;
@@ -55,10 +56,14 @@
   /**
    * Selects the cheapest victims in a group of workers that free enough capacity.
    *
+   * @param eligible the runs that may be stopped
    * @return the victims, or null if preemption cannot free enough
    */
   Selection selectCheapest(
-      PlanView.PendingStep pending, List<CapacityLedger.Entry> group, int members) {
+      PlanView.PendingStep pending,
+      List<CapacityLedger.Entry> group,
+      int members,
+      Predicate<PlanView.RunningTask> eligible) {
     int fitting =
         group.stream().mapToInt(entry -> entry.countFittingAfterStops(pending, members)).sum();
     PriorityQueue<Candidate> candidates =
@@ -66,7 +71,7 @@
             Comparator.comparingDouble(Candidate::cost)
                 .thenComparing(candidate -> candidate.entry().worker().id()));
     Map<CapacityLedger.Entry, Set<PlanView.RunningTask>> stoppedByEntry = new HashMap<>();
-    group.forEach(entry -> addCandidate(candidates, pending, entry, Set.of()));
+    group.forEach(entry -> addCandidate(candidates, pending, entry, Set.of(), eligible));
     Set<PlanView.RunningTask> victims = new LinkedHashSet<>();
     double cost = 0;
     while (fitting < members) {
@@ -81,7 +86,7 @@
       int fittingBefore = countFitting(pending, candidate.entry(), stopped, members);
       stopped.addAll(candidate.victims());
       fitting += countFitting(pending, candidate.entry(), stopped, members) - fittingBefore;
-      addCandidate(candidates, pending, candidate.entry(), stopped);
+      addCandidate(candidates, pending, candidate.entry(), stopped, eligible);
     }
     return new Selection(List.copyOf(victims), cost);
   }
@@ -106,22 +111,21 @@
       PriorityQueue<Candidate> candidates,
       PlanView.PendingStep pending,
       CapacityLedger.Entry entry,
-      Set<PlanView.RunningTask> alreadyStopped) {
-    List<PlanView.RunningTask> eligible = new ArrayList<>();
+      Set<PlanView.RunningTask> alreadyStopped,
+      Predicate<PlanView.RunningTask> eligible) {
+    List<PlanView.RunningTask> runs = new ArrayList<>();
     for (PlanView.RunningTask run : byWorker.getOrDefault(entry.worker().id(), List.of())) {
-      if (run.priority() > pending.priority()
-          && !stopping.contains(run)
-          && !alreadyStopped.contains(run)) {
-        eligible.add(run);
+      if (eligible.test(run) && !stopping.contains(run) && !alreadyStopped.contains(run)) {
+        runs.add(run);
       }
     }
-    eligible.sort(
+    runs.sort(
         Comparator.comparingDouble(run -> preemptionCost(run) / (1 + run.held().pricedCores())));
     int limit = Integer.MAX_VALUE;
     int fittingBefore = countFitting(pending, entry, alreadyStopped, limit);
     Set<PlanView.RunningTask> stopped = new HashSet<>(alreadyStopped);
     List<PlanView.RunningTask> added = new ArrayList<>();
-    for (PlanView.RunningTask run : eligible) {
+    for (PlanView.RunningTask run : runs) {
       stopped.add(run);
       added.add(run);
       if (countFitting(pending, entry, stopped, limit) > fittingBefore) {
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
@@ -31,6 +31,7 @@
  * @param graceSeconds time between the termination signal and the end of the process, in seconds
  * @param processorShare fraction of a processor's time that this VM gets
  * @param processorSpeed speed of that processor relative to the usual one
+ * @param linkMegabits capacity of this VM's network link, in megabits per second; 100 if absent
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record EdgeSettings(
@@ -46,7 +47,8 @@
     long heartbeatMillis,
     double graceSeconds,
     double processorShare,
-    double processorSpeed) {
+    double processorSpeed,
+    double linkMegabits) {
   /**
    * Time for which a worker may hold a poll. The loss of a worker's connection is detected that
    * much later.
@@ -69,6 +71,8 @@
   private static final long MAX_UNCONFIRMED_MILLIS = 10_000;
 
   private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double BYTES_PER_MEGABIT = 125_000;
+  private static final double DEFAULT_LINK_MEGABITS = 100;
 
   /**
    * Cores that a VM needs to plan for a few hundred workers without falling behind. This is five
@@ -76,7 +80,10 @@
    */
   private static final double REQUIRED_PLANNER_CORES = 0.7;
 
-  /** Longest delay of a claim of the planner role by a VM that has fewer cores. */
+  /** Link that a VM needs to plan for a few hundred workers without falling behind. */
+  private static final double REQUIRED_PLANNER_MEGABITS = 20;
+
+  /** Longest delay of a claim of the planner role by a VM that has less. */
   private static final long MAX_CLAIM_DELAY_MILLIS = 500;
 
   /** Longest time that a read waits for records; bounds the time to detect a dead connection. */
@@ -115,6 +122,11 @@
           .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
           .build();
 
+  /** Sets the default of the link's capacity. */
+  public EdgeSettings {
+    linkMegabits = linkMegabits == 0 ? DEFAULT_LINK_MEGABITS : linkMegabits;
+  }
+
   /**
    * Reads and validates a settings file.
    *
@@ -144,6 +156,7 @@
     requirePositive(file, "graceSeconds", graceSeconds);
     requirePositive(file, "processorShare", processorShare);
     requirePositive(file, "processorSpeed", processorSpeed);
+    requirePositive(file, "linkMegabits", linkMegabits);
   }
 
   private static void requireText(String file, String field, String value)
@@ -184,7 +197,8 @@
             reclaimMillis,
             stopMillis,
             farFactor,
-            heartbeatMillis);
+            heartbeatMillis,
+            Math.round(linkMegabits * BYTES_PER_MEGABIT));
     return SchedulerVmSettings.newBuilder()
         .setVm(vm)
         .setIncarnation(incarnation)
@@ -202,7 +216,9 @@
 
   private long claimDelayMillis() {
     double cores = processorShare * processorSpeed;
-    double shortfall = Math.max(0, 1 - cores / REQUIRED_PLANNER_CORES);
+    double adequacy =
+        Math.min(cores / REQUIRED_PLANNER_CORES, linkMegabits / REQUIRED_PLANNER_MEGABITS);
+    double shortfall = Math.max(0, 1 - adequacy);
     return Math.round(shortfall * MAX_CLAIM_DELAY_MILLIS);
   }
 }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -60,7 +60,7 @@
   }
 
   private static final DispatchSettings DISPATCH_SETTINGS =
-      new DispatchSettings(10_000, 1_500, 800, 400, 10_000, 3_400, 900, 3, 1_500);
+      new DispatchSettings(10_000, 1_500, 800, 400, 10_000, 3_400, 900, 3, 1_500, 250_000);
   private static final long CANCEL_MILLIS = 3_000;
   private static final long TICK_MILLIS = 50;
   private static final long POLL_MILLIS = 10;
@@ -378,6 +378,11 @@
     workerGateway.setLateCallShare(share);
   }
 
+  /** Limits the link from the VMs to the workers to the capacity that the VMs assume. */
+  public void limitWorkerLink() {
+    workerGateway.setLinkBytesPerSecond(DISPATCH_SETTINGS.linkBytesPerSecond());
+  }
+
   /** Sets the share of runs that fail. */
   public void setFailingTasks(double share) {
     failingTaskShare = share;
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
@@ -17,6 +17,8 @@
   /** Interval at which a worker checks whether a held poll has something to report. */
   private static final long POLL_MILLIS = 10;
 
+  private static final int START_OVERHEAD_BYTES = 600;
+  private static final double MILLIS_PER_SECOND = 1_000;
   private static final CallReply UNKNOWN = new CallReply(CallOutcome.UNKNOWN, -1);
   private static final CallReply OTHER_LIFE = new CallReply(CallOutcome.OTHER_LIFE, -1);
 
@@ -26,6 +28,8 @@
   private final Map<WorkerId, WorkerHost> workers;
   private final long callTimeoutMillis;
   private double lateCallShare;
+  private long linkBytesPerSecond = Long.MAX_VALUE;
+  private double linkFreeAtMillis;
 
   /**
    * Creates a path to the workers.
@@ -51,6 +55,20 @@
     lateCallShare = share;
   }
 
+  /** Sets the capacity of the link that starts share; unlimited at first. */
+  void setLinkBytesPerSecond(long value) {
+    linkBytesPerSecond = value;
+  }
+
+  /** Returns how long a start waits for the link and occupies it. */
+  private long transferMillis(StartRequest request) {
+    double bytes = START_OVERHEAD_BYTES + request.payload().length();
+    linkFreeAtMillis =
+        Math.max(linkFreeAtMillis, (double) time.steadyMillis())
+            + bytes * MILLIS_PER_SECOND / (double) linkBytesPerSecond;
+    return (long) (linkFreeAtMillis - (double) time.steadyMillis());
+  }
+
   private static PollReply failedPoll(CallOutcome outcome) {
     return new PollReply(outcome, -1, 0, List.of(), List.of());
   }
@@ -60,13 +78,20 @@
   }
 
   private <T> CompletableFuture<T> call(
-      Target target, Function<WorkerModel, T> request, T unknown, T otherLife) {
+      Target target,
+      long transferMillis,
+      Function<WorkerModel, T> request,
+      T unknown,
+      T otherLife) {
     CompletableFuture<T> answer = new CompletableFuture<>();
+    if (transferMillis > 0) {
+      time.after(callTimeoutMillis, () -> answer.complete(unknown));
+    }
     WorkerHost host = host(target);
     boolean late = random.nextDouble() < lateCallShare;
     WorkerModel addressee = host.incarnation;
     time.after(
-        1 + random.nextInt(12),
+        transferMillis + 1 + random.nextInt(12),
         () -> {
           if (host.replaced && !host.disconnected) {
             time.after(1 + random.nextInt(12), () -> answer.complete(otherLife));
@@ -96,12 +121,13 @@
 
   @Override
   public CompletableFuture<CallReply> start(Target target, StartRequest request) {
-    return call(target, worker -> worker.start(request), UNKNOWN, OTHER_LIFE);
+    return call(
+        target, transferMillis(request), worker -> worker.start(request), UNKNOWN, OTHER_LIFE);
   }
 
   @Override
   public CompletableFuture<CallReply> stop(Target target, TaskId task, int run, long token) {
-    return call(target, worker -> worker.stop(task, run, token), UNKNOWN, OTHER_LIFE);
+    return call(target, 0, worker -> worker.stop(task, run, token), UNKNOWN, OTHER_LIFE);
   }
 
   @Override
--- /dev/null
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/CapacityClaimTest.java
@@ -0,0 +1,159 @@
+package org.peridotroute.scheduler.plan;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.peridotroute.scheduler.plan.PlanFixtures.NOW;
+import static org.peridotroute.scheduler.plan.PlanFixtures.WORKER_CAPACITY;
+import static org.peridotroute.scheduler.plan.PlanFixtures.pending;
+import static org.peridotroute.scheduler.plan.PlanFixtures.running;
+import static org.peridotroute.scheduler.plan.PlanFixtures.stepId;
+import static org.peridotroute.scheduler.plan.PlanFixtures.worker;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.plan.PlanView.PendingStep;
+import org.peridotroute.scheduler.plan.PlanView.RunningTask;
+import org.peridotroute.scheduler.plan.PlanView.WorkerView;
+
+/**
+ * Pattern: several urgent gangs arrive at once while less urgent work fills all workers. Each stop
+ * must serve the gang that it was made for; otherwise one gang takes the capacity freed for
+ * another, which then stops further runs and starts late.
+ */
+final class CapacityClaimTest {
+  private static final GangFirstPlacer PLACER =
+      new GangFirstPlacer(new PlanSettings(3, 2_900, 400));
+  private static final int WORKERS = 8;
+
+  private final List<PendingStep> waiting = new ArrayList<>();
+  private final List<RunningTask> running = new ArrayList<>();
+  private final Set<WorkerId> stopping = new HashSet<>();
+  private List<CapacityClaim> claims = List.of();
+
+  /** Fills all workers with one run each; those of the first rack lose more when stopped. */
+  private void fillWorkers() {
+    for (int i = 0; i < WORKERS; i++) {
+      running.add(running(100 + i, i, 8, false, i < 4 ? 4_000 : 1_000));
+    }
+  }
+
+  private static WorkerView emptying(int number) {
+    WorkerView full = worker(number, 0, 0);
+    return new WorkerView(
+        full.id(),
+        full.service(),
+        full.rack(),
+        full.labels(),
+        full.capacity(),
+        full.free(),
+        WORKER_CAPACITY,
+        Map.of(),
+        0,
+        0,
+        1);
+  }
+
+  /** Runs a pass, records its stops and claims, and returns the number of stops. */
+  private int pass() {
+    List<WorkerView> workers = new ArrayList<>();
+    for (int i = 0; i < WORKERS; i++) {
+      workers.add(stopping.contains(new WorkerId("w-" + i)) ? emptying(i) : worker(i, 0, 0));
+    }
+    List<RunningTask> preemptible =
+        running.stream().filter(run -> !stopping.contains(run.worker())).toList();
+    List<PlacementDecision> decisions =
+        PLACER.decide(new PlanView(NOW, workers, waiting, preemptible, 0, claims));
+    int stops = 0;
+    List<CapacityClaim> reserved = new ArrayList<>();
+    for (PlacementDecision decision : decisions) {
+      if (decision instanceof PlacementDecision.Preempt preempt) {
+        stops++;
+        running.stream()
+            .filter(run -> run.task().equals(preempt.task()))
+            .forEach(run -> stopping.add(run.worker()));
+      } else if (decision instanceof PlacementDecision.Reserve reserve) {
+        reserved.add(reserve.claim());
+      }
+    }
+    claims = reserved;
+    return stops;
+  }
+
+  @Test
+  void urgentGangsKeepTheCapacityThatWasFreedForThem() {
+    fillWorkers();
+    waiting.add(pending(1, 0, 2, 8, true, false));
+    waiting.add(pending(2, 0, 4, 8, true, false));
+    assertThat(pass()).isEqualTo(6);
+    assertThat(pass()).isEqualTo(0);
+  }
+
+  @Test
+  void laterUrgentGangDoesNotTakeCapacityFreedForAnother() {
+    fillWorkers();
+    waiting.add(pending(2, 0, 4, 8, true, false));
+    assertThat(pass()).isEqualTo(4);
+    waiting.add(pending(1, 0, 2, 8, true, false));
+    assertThat(pass()).isEqualTo(2);
+    assertThat(pass()).isEqualTo(0);
+  }
+
+  @Test
+  void gangWhoseClaimedWorkerIsLostClaimsAnother() {
+    fillWorkers();
+    waiting.add(pending(1, 0, 1, 8, true, false));
+    claims = List.of(new CapacityClaim(stepId(1), Map.of(new WorkerId("gone"), 1)));
+    assertThat(pass()).isEqualTo(1);
+    assertThat(pass()).isEqualTo(0);
+  }
+
+  private static RunningTask borrowing(int job, int worker) {
+    RunningTask run = running(job, worker, 8, false, 1_000);
+    return new RunningTask(
+        run.task(), run.run(), run.worker(), run.held(), 0, false, false, run.unsavedMillis());
+  }
+
+  private static PendingStep waitingSince(PendingStep pending, long sinceMillis) {
+    return new PendingStep(
+        pending.step(),
+        pending.spec(),
+        pending.service(),
+        pending.tasks(),
+        pending.priority(),
+        pending.guaranteed(),
+        sinceMillis,
+        pending.objectiveMillis(),
+        pending.expiryMillis(),
+        pending.durationMillis(),
+        pending.remainingMillis(),
+        pending.excludedWorkers());
+  }
+
+  @Test
+  void guaranteedGangReclaimsCapacityFromUrgentBorrowersWhenDue() {
+    for (int i = 0; i < WORKERS; i++) {
+      running.add(borrowing(100 + i, i));
+    }
+    waiting.add(pending(1, 0, 1, 8, true, false));
+    assertThat(pass()).isEqualTo(0);
+    waiting.set(0, waitingSince(waiting.get(0), NOW - 1_400));
+    assertThat(pass()).isEqualTo(1);
+    assertThat(pass()).isEqualTo(0);
+  }
+
+  @Test
+  void capacityOfAnOverdueStopIsNotWaitedFor() {
+    fillWorkers();
+    waiting.add(pending(1, 0, 1, 8, true, false));
+    pass();
+    WorkerId silent = stopping.iterator().next();
+    stopping.clear();
+    running.removeIf(run -> run.worker().equals(silent));
+    assertThat(pass()).isEqualTo(1);
+    assertThat(stopping).doesNotContain(silent);
+  }
+}
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
@@ -1,6 +1,11 @@
 package org.peridotroute.scheduler.plan;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.peridotroute.scheduler.plan.PlanFixtures.NOW;
+import static org.peridotroute.scheduler.plan.PlanFixtures.pending;
+import static org.peridotroute.scheduler.plan.PlanFixtures.running;
+import static org.peridotroute.scheduler.plan.PlanFixtures.stepId;
+import static org.peridotroute.scheduler.plan.PlanFixtures.worker;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -9,9 +14,6 @@
 import org.junit.jupiter.api.Test;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
-import org.peridotroute.scheduler.model.JobId;
-import org.peridotroute.scheduler.model.StepId;
-import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.plan.PlanView.PendingStep;
 import org.peridotroute.scheduler.plan.PlanView.RunningTask;
@@ -19,80 +21,15 @@
 
 /** Checks the placement decisions for the load patterns of days with heavy load. */
 final class LoadPatternTest {
-  private static final Capacity CAPACITY = new Capacity(64_000, 128_000, 8);
   private static final GangFirstPlacer PLACER =
       new GangFirstPlacer(new PlanSettings(3, 2_900, 400));
-  private static final long NOW = 100_000;
-
-  private static StepId stepId(int number) {
-    return new StepId(new JobId("%016x".formatted(number)), 0, 0);
-  }
-
-  private static WorkerView worker(
-      int number, long freeAccelerators, long preemptibleAccelerators) {
-    Capacity free =
-        new Capacity(freeAccelerators * 8_000, freeAccelerators * 16_000, freeAccelerators);
-    return new WorkerView(
-        new WorkerId("w-" + number),
-        "s",
-        "rack-" + number / 4,
-        Set.of("a"),
-        CAPACITY,
-        free,
-        free,
-        Map.of(),
-        preemptibleAccelerators,
-        0,
-        1);
-  }
-
-  private static PendingStep pending(
-      int job, int priority, int count, int accelerators, boolean gang, boolean checkpoints) {
-    StepSpec spec =
-        StepSpec.newBuilder()
-            .setCount(count)
-            .setNeed(new Capacity(accelerators * 1_000L, 1_000, accelerators))
-            .setGang(gang)
-            .setSameRack(gang)
-            .setCheckpoints(checkpoints)
-            .build();
-    List<Integer> tasks = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      tasks.add(i);
-    }
-    return new PendingStep(
-        stepId(job),
-        spec,
-        "s",
-        tasks,
-        priority,
-        priority == 0,
-        NOW,
-        NOW + 4_000,
-        NOW + 12_000,
-        2_500,
-        2_500,
-        Set.of());
-  }
-
-  private static RunningTask running(
-      int job, int worker, int accelerators, boolean gang, long unsavedMillis) {
-    return new RunningTask(
-        new TaskId(stepId(job), worker),
-        1,
-        new WorkerId("w-" + worker),
-        new Capacity(accelerators * 1_000L, 1_000, accelerators),
-        2,
-        gang,
-        unsavedMillis);
-  }
 
   private static List<PlacementDecision> decide(
       List<WorkerView> workers,
       List<PendingStep> waiting,
       List<RunningTask> running,
       long reserve) {
-    return PLACER.decide(new PlanView(NOW, workers, waiting, running, reserve));
+    return PLACER.decide(new PlanView(NOW, workers, waiting, running, reserve, List.of()));
   }
 
   @Test
@@ -122,6 +59,11 @@
         .containsExactly(new WorkerId("w-0"), new WorkerId("w-0"));
   }
 
+  private static PlacementDecision claimOnFirstWorker(int job) {
+    return new PlacementDecision.Reserve(
+        new CapacityClaim(stepId(job), Map.of(new WorkerId("w-0"), 1)));
+  }
+
   @Test
   void urgentBurstPreemptsTaskWithLeastUnsavedWork() {
     List<PlacementDecision> decisions =
@@ -130,9 +72,10 @@
             List.of(pending(1, 0, 1, 8, true, false)),
             List.of(running(2, 0, 8, false, 0), running(3, 1, 8, false, 9_000)),
             0);
-    assertThat(decisions).hasSize(1);
-    assertThat(((PlacementDecision.Preempt) decisions.get(0)).task().job())
-        .isEqualTo(stepId(2).job());
+    assertThat(decisions)
+        .containsExactly(
+            new PlacementDecision.Preempt(new TaskId(stepId(2), 0), 1, stepId(1)),
+            claimOnFirstWorker(1));
   }
 
   @Test
@@ -187,9 +130,9 @@
             "s",
             "rack-0",
             Set.of("a"),
-            CAPACITY,
+            PlanFixtures.WORKER_CAPACITY,
             new Capacity(32_000, 64_000, 4),
-            CAPACITY,
+            PlanFixtures.WORKER_CAPACITY,
             Map.of(),
             0,
             0,
@@ -200,7 +143,7 @@
             List.of(pending(1, 0, 1, 8, true, false), pending(2, 2, 4, 1, false, true)),
             List.of(),
             0);
-    assertThat(decisions).isEmpty();
+    assertThat(decisions).containsExactly(claimOnFirstWorker(1));
   }
 
   private static PendingStep withDeadlines(
--- /dev/null
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/PlanFixtures.java
@@ -0,0 +1,89 @@
+package org.peridotroute.scheduler.plan;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.Capacity;
+import org.peridotroute.scheduler.model.JobId;
+import org.peridotroute.scheduler.model.StepId;
+import org.peridotroute.scheduler.model.StepSpec;
+import org.peridotroute.scheduler.model.TaskId;
+import org.peridotroute.scheduler.plan.PlanView.PendingStep;
+import org.peridotroute.scheduler.plan.PlanView.RunningTask;
+import org.peridotroute.scheduler.plan.PlanView.WorkerView;
+
+/** Workers in racks of four with eight accelerators each, and work for them. */
+final class PlanFixtures {
+  /** Capacity of each worker. */
+  static final Capacity WORKER_CAPACITY = new Capacity(64_000, 128_000, 8);
+
+  /** Steady time of the passes. */
+  static final long NOW = 100_000;
+
+  private PlanFixtures() {}
+
+  static StepId stepId(int number) {
+    return new StepId(new JobId("%016x".formatted(number)), 0, 0);
+  }
+
+  static WorkerView worker(int number, long freeAccelerators, long preemptibleAccelerators) {
+    Capacity free =
+        new Capacity(freeAccelerators * 8_000, freeAccelerators * 16_000, freeAccelerators);
+    return new WorkerView(
+        new WorkerId("w-" + number),
+        "s",
+        "rack-" + number / 4,
+        Set.of("a"),
+        WORKER_CAPACITY,
+        free,
+        free,
+        Map.of(),
+        preemptibleAccelerators,
+        0,
+        1);
+  }
+
+  static PendingStep pending(
+      int job, int priority, int count, int accelerators, boolean gang, boolean checkpoints) {
+    StepSpec spec =
+        StepSpec.newBuilder()
+            .setCount(count)
+            .setNeed(new Capacity(accelerators * 1_000L, 1_000, accelerators))
+            .setGang(gang)
+            .setSameRack(gang)
+            .setCheckpoints(checkpoints)
+            .build();
+    List<Integer> tasks = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      tasks.add(i);
+    }
+    return new PendingStep(
+        stepId(job),
+        spec,
+        "s",
+        tasks,
+        priority,
+        priority == 0,
+        NOW,
+        NOW + 4_000,
+        NOW + 12_000,
+        2_500,
+        2_500,
+        Set.of());
+  }
+
+  static RunningTask running(
+      int job, int worker, int accelerators, boolean gang, long unsavedMillis) {
+    return new RunningTask(
+        new TaskId(stepId(job), worker),
+        1,
+        new WorkerId("w-" + worker),
+        new Capacity(accelerators * 1_000L, 1_000, accelerators),
+        2,
+        false,
+        gang,
+        unsavedMillis);
+  }
+}
--- a/org.peridotroute.test/tst/org/peridotroute/server/edge/EdgeSettingsTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/server/edge/EdgeSettingsTest.java
@@ -50,4 +50,29 @@
     assertThat(fastVm.toSchedulerVmSettings("run-1").claimDelayMillis()).isEqualTo(0);
     assertThat(read(COMPLETE).toSchedulerVmSettings("run-1").claimDelayMillis()).isGreaterThan(100);
   }
+
+  @Test
+  void delaysPlannerClaimOnVmsWithASlowLink() throws Exception {
+    String fastVm = COMPLETE.replace("0.36", "0.75");
+    EdgeSettings slowLink = read(fastVm.replace("\"unknown\": true", "\"linkMegabits\": 2"));
+    assertThat(slowLink.toSchedulerVmSettings("run-1").claimDelayMillis()).isGreaterThan(100);
+  }
+
+  @Test
+  void startsUnderWayFollowTheLink() throws Exception {
+    EdgeSettings slowLink = read(COMPLETE.replace("\"unknown\": true", "\"linkMegabits\": 2"));
+    assertThat(slowLink.toSchedulerVmSettings("run-1").dispatch().linkBytesPerSecond())
+        .isEqualTo(250_000);
+    assertThat(read(COMPLETE).toSchedulerVmSettings("run-1").dispatch().linkBytesPerSecond())
+        .isEqualTo(12_500_000);
+  }
+
+  @Test
+  void rejectsANegativeLink() {
+    SettingsException thrown =
+        assertThrows(
+            SettingsException.class,
+            () -> read(COMPLETE.replace("\"unknown\": true", "\"linkMegabits\": -1")));
+    assertThat(thrown).hasMessageThat().contains("linkMegabits");
+  }
 }
