Keep capacity held for a gang apart from claims

Cause: a gang that cannot start holds capacity in one rack, whether or not that capacity is being freed for another step.

Change: what is held is counted apart; the step that has a claim does not see it. CapacityClaimTest.capacityHeldForAGangThatCannotStart... failed before (the claim was gone).

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.StepId;
@@ -21,6 +23,8 @@
     private Capacity freeForPreemptible;
     private Capacity freeAfterStops;
     private Capacity claimed = Capacity.NONE;
+    private Capacity heldForGangs = Capacity.NONE;
+    private final Set<StepId> claimants = new HashSet<>();
     private long preemptibleAccelerators;
 
     private Entry(PlanView.WorkerView worker) {
@@ -40,9 +44,13 @@
       return free;
     }
 
-    /** Returns the capacity that is free and unclaimed once all pending stops have ended. */
-    Capacity freeAfterStops() {
-      return freeAfterStops.minus(claimed);
+    /**
+     * Returns the capacity that a step could get once all pending stops have ended: what is neither
+     * claimed by others nor held for a gang. What a step has claimed is not held for any gang.
+     */
+    Capacity freeAfterStops(PlanView.PendingStep pending) {
+      Capacity unclaimed = freeAfterStops.minus(claimed);
+      return claimants.contains(pending.step()) ? unclaimed : unclaimed.minus(heldForGangs);
     }
 
     /**
@@ -51,10 +59,12 @@
      * @param limit upper bound of the result
      */
     int countFitting(PlanView.PendingStep pending, int limit) {
+      boolean mayUseHeld = pending.isPreemptibleWithoutLoss() && !pending.spec().gang();
       Capacity usable =
-          pending.isPreemptibleWithoutLoss() && !pending.spec().gang() ? freeForPreemptible : free;
-      Capacity unclaimed = claimed.equals(Capacity.NONE) ? usable : min(usable, freeAfterStops());
-      return limitCount(pending, unclaimed.maxCount(pending.spec().reserved()), limit);
+          mayUseHeld
+              ? min(freeForPreemptible, freeAfterStops.minus(claimed))
+              : min(free, freeAfterStops(pending));
+      return limitCount(pending, usable.maxCount(pending.spec().reserved()), limit);
     }
 
     /**
@@ -63,7 +73,8 @@
      * @param limit upper bound of the result
      */
     int countFittingAfterStops(PlanView.PendingStep pending, int limit) {
-      return limitCount(pending, freeAfterStops().maxCount(pending.spec().reserved()), limit);
+      return limitCount(
+          pending, freeAfterStops(pending).maxCount(pending.spec().reserved()), limit);
     }
 
     /**
@@ -95,7 +106,12 @@
 
     /** Returns the accelerators of this worker that urgent work can get without losing work. */
     long acceleratorsWithoutLoss() {
-      return Math.max(0, freeAfterStops.accelerators()) + preemptibleAccelerators;
+      return unusedAccelerators() + preemptibleAccelerators;
+    }
+
+    /** Returns the accelerators that are unallocated and not held once all stops have ended. */
+    long unusedAccelerators() {
+      return Math.max(0, freeAfterStops.minus(heldForGangs).accelerators());
     }
 
     long preemptibleAccelerators() {
@@ -111,6 +127,7 @@
      * Claims capacity for tasks of a step, which no other step gets until the claim is released.
      */
     void claim(PlanView.PendingStep pending, int tasks) {
+      claimants.add(pending.step());
       for (int i = 0; i < tasks; i++) {
         claimed = claimed.plus(pending.spec().reserved());
       }
@@ -134,8 +151,7 @@
      * meanwhile.
      */
     void hold(PlanView.PendingStep pending) {
-      freeAfterStops = freeAfterStops.minus(pending.spec().reserved());
-      free = min(free, freeAfterStops);
+      heldForGangs = heldForGangs.plus(pending.spec().reserved());
     }
 
     private static Capacity min(Capacity one, Capacity other) {
@@ -187,9 +203,7 @@
 
   /** Returns the accelerators that are unallocated once all pending stops have ended. */
   long unusedAccelerators() {
-    return entries.values().stream()
-        .mapToLong(entry -> Math.max(0, entry.freeAfterStops.accelerators()))
-        .sum();
+    return entries.values().stream().mapToLong(Entry::unusedAccelerators).sum();
   }
 
   /** Returns the accelerators that urgent work can get without losing work. */
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/VictimSelector.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/VictimSelector.java
@@ -96,7 +96,7 @@
       CapacityLedger.Entry entry,
       Set<PlanView.RunningTask> stopped,
       int limit) {
-    Capacity capacity = entry.freeAfterStops();
+    Capacity capacity = entry.freeAfterStops(pending);
     for (PlanView.RunningTask run : stopped) {
       capacity = capacity.plus(run.held());
     }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/CapacityClaimTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/CapacityClaimTest.java
@@ -156,4 +156,17 @@
     assertThat(pass()).isEqualTo(1);
     assertThat(stopping).doesNotContain(silent);
   }
+
+  @Test
+  void capacityHeldForAGangThatCannotStartLeavesClaimsAlone() {
+    for (int i = 0; i < WORKERS; i++) {
+      running.add(i < 3 ? running(100 + i, i, 8, false, 1_000) : borrowing(100 + i, i));
+    }
+    waiting.add(pending(1, 0, 3, 8, true, false));
+    assertThat(pass()).isEqualTo(3);
+    // Smaller, hence first in the queue, but no rack can hold it while the borrowers run.
+    waiting.add(pending(2, 0, 2, 8, true, false));
+    pass();
+    assertThat(claims.stream().map(CapacityClaim::step).toList()).containsExactly(stepId(1));
+  }
 }
