Hold capacity strictly for gangs that may not preempt

Cause: work that saves its progress was placed on capacity held for any gang, on the ground that it can be preempted.

Change: held capacity may be used by tasks that should end before the gang can start (EarliestStart estimates that from the running tasks), and by saving tasks only if the gang may preempt them. Capacity is held in the group where the gang can start first, not where most of it fits now.

Also: guaranteed steps respect the claims of other urgent steps until they are due.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -27,6 +27,11 @@
     RUNNING
   }
 
+  private static final int COMPLETE_PERCENT = 100;
+
+  /** Expected remaining time of a run that should have ended already. */
+  private static final long MIN_REMAINING_MILLIS = 200;
+
   private final Key key;
   private final Capacity held;
   private final boolean current;
@@ -155,6 +160,20 @@
     }
   }
 
+  /**
+   * Returns the expected time until the run ends, from its progress if the worker has reported any.
+   *
+   * @param expectedMillis expected duration of a whole run
+   */
+  long remainingMillis(long expectedMillis, long nowMillis) {
+    long remainingMillis =
+        percent > 0
+            ? expectedMillis * (COMPLETE_PERCENT - percent) / COMPLETE_PERCENT
+                - (nowMillis - progressChangedMillis)
+            : expectedMillis - (nowMillis - stateSinceMillis);
+    return Math.max(MIN_REMAINING_MILLIS, remainingMillis);
+  }
+
   /** Returns the run time that a stop would lose; 0 if the step saves checkpoints. */
   long unsavedMillis(boolean checkpoints, long nowMillis) {
     if (checkpoints) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -200,7 +200,7 @@
         rackSpeeds.slowdown(workerState.info().rack()));
   }
 
-  private static void addRunningTasks(
+  private void addRunningTasks(
       List<PlanView.RunningTask> runningTasks,
       WorkerState workerState,
       Map<JobId, Job> jobsById,
@@ -229,7 +229,9 @@
               job.submission().terms().priority(),
               guaranteed.contains(job.submission().id()),
               spec.gang(),
-              attempt.unsavedMillis(spec.checkpoints(), nowMillis)));
+              attempt.unsavedMillis(spec.checkpoints(), nowMillis),
+              attempt.remainingMillis(
+                  durationEstimator.taskMillis(job.submission(), spec), nowMillis)));
     }
   }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
@@ -24,6 +24,8 @@
     private Capacity freeAfterStops;
     private Capacity claimed = Capacity.NONE;
     private Capacity heldForGangs = Capacity.NONE;
+    private long heldFromMillis = Long.MAX_VALUE;
+    private boolean heldByPreemptor = true;
     private final Set<StepId> claimants = new HashSet<>();
     private long preemptibleAccelerators;
 
@@ -59,7 +61,10 @@
      * @param limit upper bound of the result
      */
     int countFitting(PlanView.PendingStep pending, int limit) {
-      boolean mayUseHeld = pending.isPreemptibleWithoutLoss() && !pending.spec().gang();
+      boolean mayUseHeld =
+          !pending.spec().gang()
+              && (pending.durationMillis() <= heldFromMillis
+                  || (heldByPreemptor && pending.isPreemptibleWithoutLoss()));
       Capacity usable =
           mayUseHeld
               ? min(freeForPreemptible, freeAfterStops.minus(claimed))
@@ -147,10 +152,15 @@
     }
 
     /**
-     * Holds capacity for a pending gang. Work that can be preempted without loss may use it
-     * meanwhile.
+     * Holds capacity for a pending gang. Meanwhile it may be used by tasks that should end before
+     * the gang can start, and by tasks that the gang may preempt without loss.
+     *
+     * @param waitMillis expected time until the gang can start
+     * @param mayPreempt whether the gang may preempt less urgent tasks
      */
-    void hold(PlanView.PendingStep pending) {
+    void hold(PlanView.PendingStep pending, long waitMillis, boolean mayPreempt) {
+      heldFromMillis = Math.min(heldFromMillis, waitMillis);
+      heldByPreemptor &= mayPreempt;
       heldForGangs = heldForGangs.plus(pending.spec().reserved());
     }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -59,27 +59,28 @@
     private final PlanView view;
     private final CapacityLedger ledger;
     private final VictimSelector victimSelector;
+    private final EarliestStart earliestStart;
     private final List<PlacementDecision> decisions = new ArrayList<>();
     private final Map<StepId, CapacityClaim> claims = new HashMap<>();
+    private CapacityClaim released;
     private long heldAccelerators;
 
     Pass(PlanView view) {
       this.view = view;
       ledger = new CapacityLedger(view.workers());
       victimSelector = new VictimSelector(view.runningTasks());
+      earliestStart = new EarliestStart(view.runningTasks());
     }
 
     List<PlacementDecision> run() {
       List<PlanView.PendingStep> queue = new ArrayList<>(view.pendingSteps());
       queue.sort(queueOrder(view.nowMillis()));
-      applyClaims(queue, true);
-      boolean allClaimsApplied = false;
+      applyClaims(queue);
       for (PlanView.PendingStep pending : queue) {
-        if (!pending.guaranteed() && !allClaimsApplied) {
-          applyClaims(queue, false);
-          allClaimsApplied = true;
+        if (isReclaimDue(pending)) {
+          dropClaimsWithoutGuarantee(queue);
         }
-        releaseClaim(pending);
+        released = releaseClaim(pending);
         List<CapacityLedger.Entry> candidates = ledger.candidates(pending);
         if (pending.spec().gang()) {
           placeGang(pending, candidates);
@@ -90,22 +91,27 @@
       return decisions;
     }
 
-    /**
-     * Applies the claims of earlier passes that can still be met. Those of steps without a
-     * guarantee come after all guaranteed steps, which may take their capacity.
-     */
-    private void applyClaims(List<PlanView.PendingStep> queue, boolean guaranteed) {
+    /** Applies the claims of earlier passes that can still be met. */
+    private void applyClaims(List<PlanView.PendingStep> queue) {
       Map<StepId, CapacityClaim> byStep = new HashMap<>();
       view.claims().forEach(claim -> byStep.put(claim.step(), claim));
       for (PlanView.PendingStep pending : queue) {
         CapacityClaim claim = byStep.get(pending.step());
-        if (claim == null || pending.guaranteed() != guaranteed || !canMeet(pending, claim)) {
-          continue;
+        if (claim != null && canMeet(pending, claim)) {
+          claims.put(claim.step(), claim);
+          claim
+              .tasksByWorker()
+              .forEach((worker, tasks) -> ledger.entry(worker).claim(pending, tasks));
+        }
+      }
+    }
+
+    /** Drops the claims of steps without a guarantee in favour of a guaranteed one that is due. */
+    private void dropClaimsWithoutGuarantee(List<PlanView.PendingStep> queue) {
+      for (PlanView.PendingStep pending : queue) {
+        if (!pending.guaranteed()) {
+          releaseClaim(pending);
         }
-        claims.put(claim.step(), claim);
-        claim
-            .tasksByWorker()
-            .forEach((worker, tasks) -> ledger.entry(worker).claim(pending, tasks));
       }
     }
 
@@ -121,13 +127,15 @@
               });
     }
 
-    private void releaseClaim(PlanView.PendingStep pending) {
-      CapacityClaim claim = claims.get(pending.step());
+    /** Releases the claim of a step and returns it, or null if the step has none. */
+    private CapacityClaim releaseClaim(PlanView.PendingStep pending) {
+      CapacityClaim claim = claims.remove(pending.step());
       if (claim != null) {
         claim
             .tasksByWorker()
             .forEach((worker, tasks) -> ledger.entry(worker).releaseClaim(pending, tasks));
       }
+      return claim;
     }
 
     /**
@@ -135,7 +143,7 @@
      * capacity if it does.
      */
     private boolean keepClaim(PlanView.PendingStep pending, int remaining) {
-      CapacityClaim claim = claims.get(pending.step());
+      CapacityClaim claim = released;
       if (claim == null) {
         return false;
       }
@@ -210,10 +218,8 @@
     }
 
     /**
-     * Holds capacity for a gang that cannot start yet, in the group where the most members fit
-     * after pending stops, so that smaller work later in the queue does not take each accelerator
-     * that becomes free. Work that can be preempted without loss may use the held capacity
-     * meanwhile.
+     * Holds capacity for a gang that cannot start yet, in the group where it can start first, so
+     * that smaller work later in the queue does not take each accelerator that becomes free.
      */
     private void hold(
         PlanView.PendingStep pending, List<List<CapacityLedger.Entry>> groups, int members) {
@@ -224,12 +230,15 @@
         return;
       }
       List<CapacityLedger.Entry> best = null;
+      long bestWaitMillis = EarliestStart.NEVER_MILLIS;
       int bestFits = -1;
       for (List<CapacityLedger.Entry> group : groups) {
+        long waitMillis = earliestStart.waitMillis(pending, group, members);
         int fits =
             group.stream().mapToInt(entry -> entry.countFittingAfterStops(pending, members)).sum();
-        if (fits > bestFits) {
+        if (waitMillis < bestWaitMillis || (waitMillis == bestWaitMillis && fits > bestFits)) {
           best = group;
+          bestWaitMillis = waitMillis;
           bestFits = fits;
         }
       }
@@ -246,7 +255,10 @@
       for (CapacityLedger.Entry entry : sorted) {
         int count = entry.countFittingWhenEmpty(pending, remaining);
         for (int i = 0; i < count; i++) {
-          entry.hold(pending);
+          entry.hold(
+              pending,
+              bestWaitMillis == EarliestStart.NEVER_MILLIS ? 0 : bestWaitMillis,
+              mayPreempt(pending));
         }
         remaining -= count;
       }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
@@ -151,6 +151,7 @@
    * @param guaranteed whether the guarantee of its organisation covers it
    * @param gang whether the whole step ends with it
    * @param unsavedMillis run time that a stop would lose
+   * @param remainingMillis expected time until it ends
    */
   public record RunningTask(
       TaskId task,
@@ -160,5 +161,6 @@
       int priority,
       boolean guaranteed,
       boolean gang,
-      long unsavedMillis) {}
+      long unsavedMillis,
+      long remainingMillis) {}
 }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/PlanFixtures.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/PlanFixtures.java
@@ -22,6 +22,9 @@
   /** Steady time of the passes. */
   static final long NOW = 100_000;
 
+  /** Expected time until each running task ends. */
+  static final long REMAINING_MILLIS = 2_000;
+
   private PlanFixtures() {}
 
   static StepId stepId(int number) {
@@ -84,6 +87,7 @@
         2,
         false,
         gang,
-        unsavedMillis);
+        unsavedMillis,
+        REMAINING_MILLIS);
   }
 }
