Let the interval of passes follow their duration

Cause: on a slow processor a pass takes longer than the 15 ms between two passes, so passes took nearly all of the planner's time while replies of workers and of the log waited on the same thread.

Change: at least four times the duration of the last pass lies between two passes, at most 250 ms.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -52,6 +52,12 @@
   /** Shortest time between two passes, so that a burst of changes costs only a few passes. */
   private static final long MIN_PASS_INTERVAL_MILLIS = 15;
 
+  /**
+   * Multiple of the duration of a pass that lies between two passes at least, so that on a slow
+   * processor replies of workers and of the log are not left waiting.
+   */
+  private static final long PASS_INTERVAL_FACTOR = 4;
+
   /** Consecutive failures after which a worker gets no new work for a while. */
   private static final int QUARANTINE_AFTER_FAILURES = 2;
 
@@ -75,6 +81,7 @@
   private boolean passNeeded = true;
   private boolean openJobsLeft;
   private long lastPassMillis;
+  private long lastPassTookMillis;
   private boolean closed;
 
   /**
@@ -240,12 +247,16 @@
     }
     workerManager.tick();
     long now = time.steadyMillis();
-    boolean due =
+    long interval =
         passNeeded
-            ? now - lastPassMillis >= MIN_PASS_INTERVAL_MILLIS
-            : openJobsLeft && now - lastPassMillis >= MAX_PASS_INTERVAL_MILLIS;
+            ? Math.min(
+                MAX_PASS_INTERVAL_MILLIS,
+                Math.max(MIN_PASS_INTERVAL_MILLIS, PASS_INTERVAL_FACTOR * lastPassTookMillis))
+            : MAX_PASS_INTERVAL_MILLIS;
+    boolean due = (passNeeded || openJobsLeft) && now - lastPassMillis >= interval;
     if (due && configuration != null && !journal.isStalled(now, LOG_STALL_MILLIS)) {
       runPass(now);
+      lastPassTookMillis = time.steadyMillis() - now;
     }
     if (!closed) {
       journal.flush(settings.renewMillis());
