Read long replies over slow links, skip malformed records

Cause 1: a call had to end within its timeout. Change: the timeout runs until a response starts and between two of its parts.

Cause 2, looked for since it broke others: a cut record in a 200 reply of the store, a record shorter than its key, or a phase byte of 128 or more threw exceptions that end the process; an item without a value made its whole page unavailable.

--- a/org.peridotroute.http/src/org/peridotroute/http/ByteBodyReader.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/ByteBodyReader.java
@@ -13,13 +13,25 @@
 /** Reads one response body from a channel to its end without blocking. */
 final class ByteBodyReader implements ChannelListener<StreamSourceChannel> {
   private final ByteBufferPool pool;
+  private final Runnable onProgress;
   private final Consumer<byte[]> onComplete;
   private final Consumer<IOException> onFailure;
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 
+  /**
+   * Creates a reader.
+   *
+   * @param onProgress run after each part of the body but the last
+   * @param onComplete receives the whole body
+   * @param onFailure receives the failure of a read
+   */
   ByteBodyReader(
-      ByteBufferPool pool, Consumer<byte[]> onComplete, Consumer<IOException> onFailure) {
+      ByteBufferPool pool,
+      Runnable onProgress,
+      Consumer<byte[]> onComplete,
+      Consumer<IOException> onFailure) {
     this.pool = pool;
+    this.onProgress = onProgress;
     this.onComplete = onComplete;
     this.onFailure = onFailure;
   }
@@ -44,6 +56,7 @@
       while (true) {
         int count = channel.read(buffer);
         if (count == 0) {
+          onProgress.run();
           return false;
         }
         if (count < 0) {
--- a/org.peridotroute.http/src/org/peridotroute/http/HttpCall.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/HttpCall.java
@@ -10,7 +10,8 @@
  * @param headers request headers, without those that describe the body
  * @param contentType content type of the body; ignored if there is no body
  * @param body the request body, or null
- * @param timeoutMillis timeout of the whole call, including connecting
+ * @param timeoutMillis timeout until the response starts, including connecting, and between two
+ *     parts of its body
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record HttpCall(
--- a/org.peridotroute.http/src/org/peridotroute/http/HttpClient.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/HttpClient.java
@@ -104,7 +104,7 @@
    * @param method the HTTP method
    * @param url the absolute URL
    * @param body the JSON body, or null
-   * @param timeoutMillis timeout of the whole call, including connecting
+   * @param timeoutMillis timeout as of {@link HttpCall}
    * @return a future of the response, whatever its status; it fails with {@link ConnectException}
    *     if the request was not sent, and with another {@link IOException} if no response arrived,
    *     in which case it is unknown whether the call had an effect
@@ -177,7 +177,7 @@
       uri = URI.create(request.url());
     }
 
-    void begin() {
+    private void startTimer() {
       timer =
           worker
               .getIoThread()
@@ -189,6 +189,17 @@
                                   uri.getAuthority(), request.timeoutMillis()))),
                   request.timeoutMillis(),
                   TimeUnit.MILLISECONDS);
+    }
+
+    /** Restarts the timeout, so that a long response over a slow link is not given up. */
+    private void onProgress() {
+      if (timer.remove()) {
+        startTimer();
+      }
+    }
+
+    void begin() {
+      startTimer();
       ClientConnection pooled = takeIdle(uri.getAuthority());
       if (pooled != null) {
         send(pooled);
@@ -306,6 +317,7 @@
         HeaderMap headers = exchange.getResponse().getResponseHeaders();
         new ByteBodyReader(
                 buffers,
+                Call.this::onProgress,
                 body -> {
                   receivedBytes.add(START_LINE_BYTES + body.length + headerBytes(headers));
                   succeed(new HttpBytesReply(status, body));
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/ProgressCodec.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/ProgressCodec.java
@@ -109,7 +109,10 @@
    * @throws RecordFormatException if the version or the phase is unknown
    */
   public static JobPhase readPhase(byte[] bytes) throws RecordFormatException {
-    if (bytes.length < HEADER_BYTES || bytes[0] != VERSION || bytes[1] >= PHASES.size()) {
+    if (bytes.length < HEADER_BYTES
+        || bytes[0] != VERSION
+        || bytes[1] < 0
+        || bytes[1] >= PHASES.size()) {
       throw RecordFormatException.unreadable("progress", -1, "unknown version or phase");
     }
     return PHASES.get(bytes[1]);
--- a/org.peridotroute.test/tst/org/peridotroute/adapter/HttpKeyedLogTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/adapter/HttpKeyedLogTest.java
@@ -109,4 +109,42 @@
     assertThat(page.endOffset()).isEqualTo(6);
     assertThat(page.records().get(0).key()).isEqualTo("config");
   }
+
+  private static final String END_AND_FIRST = "\0\0\0\0\0\0\0\7\0\0\0\0\0\0\0\0";
+
+  private KeyedLog.ReadReply read(String records) {
+    response.set(new Outgoing(200, Map.of(), END_AND_FIRST + records));
+    return log.read(Topic.PROGRESS, 5, 0).join();
+  }
+
+  @Test
+  void treatsReplyWithCutRecordAsUnavailable() {
+    assertThat(read("\0\0\0\7\1kval").outcome()).isEqualTo(KeyedLog.ReadOutcome.UNAVAILABLE);
+    assertThat(read("\0\0").outcome()).isEqualTo(KeyedLog.ReadOutcome.UNAVAILABLE);
+  }
+
+  @Test
+  void skipsMalformedRecord() {
+    KeyedLog.ReadReply reply = read("\0\0\0\2\7k\0\0\0\0\0\0\0\3\1kv");
+    assertThat(reply.outcome()).isEqualTo(KeyedLog.ReadOutcome.READ);
+    assertThat(reply.records().stream().map(KeyedRecord::key).toList())
+        .containsExactly("", "", "k")
+        .inOrder();
+    assertThat(reply.records().get(2).offset()).isEqualTo(7);
+  }
+
+  @Test
+  void readsPageWithAnUnreadableItem() {
+    response.set(
+        new Outgoing(
+            200,
+            Map.of(),
+            "{\"items\":[{\"key\":\"a\",\"offset\":4},{\"key\":\"b\",\"value\":\"?\",\"offset\":5},"
+                + "{\"key\":\"c\",\"value\":\"e30=\",\"offset\":6}],\"end\":7}"));
+    KeyedLog.NewestPage page = log.newest(Topic.WORKERS, null).join();
+    assertThat(page.available()).isTrue();
+    assertThat(page.records().get(0).value()).isNull();
+    assertThat(page.records().get(1).value()).isNull();
+    assertThat(page.records().get(2).value()).isNotNull();
+  }
 }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/ProgressCodecTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/ProgressCodecTest.java
@@ -102,4 +102,14 @@
     }
     assertThat(job.phase()).isEqualTo(JobPhase.FAILED);
   }
+
+  @Test
+  void rejectsEveryUnknownPhaseByte() {
+    byte[] encoded = ProgressCodec.write(new Job(submission(1)));
+    for (int phase = JobPhase.values().length; phase <= 0xff; phase++) {
+      byte[] malformed = encoded.clone();
+      malformed[1] = (byte) phase;
+      assertThrows(RecordFormatException.class, () -> ProgressCodec.readPhase(malformed));
+    }
+  }
 }
