Stop urgent borrowers only at the last moment

Cause: a guaranteed step stopped other organisations' urgent runs as soon as it might have to cross racks (0.8 s on the large fleet), though a stop at 1.7 s still meets the bound; an urgent run that ends meanwhile is lost for nothing.

Change: borrowers are stopped reclaim time less stop time and margin after the job was accepted. CapacityClaimTest states both sides of that limit.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -198,6 +198,11 @@
           && view.nowMillis() - pending.waitingSinceMillis() >= settings.crossRackAfterMillis();
     }
 
+    private boolean mustStopBorrowers(PlanView.PendingStep pending) {
+      return pending.guaranteed()
+          && view.nowMillis() - pending.waitingSinceMillis() >= settings.borrowersStopAfterMillis();
+    }
+
     private boolean isMostlyIdle() {
       return 2 * ledger.unusedAccelerators() > ledger.totalAccelerators();
     }
@@ -431,7 +436,7 @@
     private boolean preempt(
         PlanView.PendingStep pending, List<List<CapacityLedger.Entry>> groups, int members) {
       return preempt(pending, groups, members, run -> run.priority() > pending.priority())
-          || (isReclaimDue(pending)
+          || (mustStopBorrowers(pending)
               && preempt(
                   pending,
                   groups,
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
@@ -38,6 +38,14 @@
     return MAX_HELD_FRACTION;
   }
 
+  /**
+   * Returns the wait after which a guaranteed step also preempts urgent work that borrows its
+   * capacity: the latest time at which a stop still lets it start in time.
+   */
+  public long borrowersStopAfterMillis() {
+    return Math.max(0, reclaimMillis - stopMillis - START_MARGIN_MILLIS);
+  }
+
   /**
    * Returns the wait after which a guaranteed gang may be placed across racks, because meeting the
    * reclaim time takes precedence over rack adjacency.
