--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -471,7 +471,6 @@
       return;
     }
     boolean repeated = attempt.state() == Attempt.State.UNCERTAIN;
-    boolean mayRepeat = !repeated && !attempt.isStopRequested() && listener.mayStart();
     switch (reply.outcome()) {
       case DONE -> {
         attempt.moveTo(Attempt.State.RUNNING, time.steadyMillis());
@@ -482,36 +481,18 @@
         listener.onFenced(worker.id());
         return;
       }
-      case UNKNOWN -> {
-        if (worker.lastReplyMillis() < sentMillis) {
-          worker.onNoReply();
-        }
-        if (attempt.state() == Attempt.State.RUNNING) {
-          return;
-        }
-        attempt.moveTo(Attempt.State.UNCERTAIN, time.steadyMillis());
-        if (mayRepeat) {
-          // Harmless if the first call has taken effect or does so later.
-          send(start);
-        } else {
-          stopUncertain(worker, attempt);
-        }
-      }
       case OTHER_LIFE -> onWorkerGone(worker, "another incarnation replied at its address");
       case INVALID ->
           endAttempt(
               worker, attempt, RunEnd.FAILED, "", "the worker rejected the start as malformed");
       default -> {
+        if (reply.outcome() == CallOutcome.UNKNOWN && worker.lastReplyMillis() < sentMillis) {
+          worker.onNoReply();
+        }
         if (attempt.state() == Attempt.State.RUNNING) {
           return;
         }
-        if (repeated) {
-          // The first call may have started the run, or may still do so.
-          stopUncertain(worker, attempt);
-        } else {
-          worker.quarantine(time.steadyMillis() + REFUSAL_QUARANTINE_MILLIS);
-          endAttempt(worker, attempt, RunEnd.STOPPED, "", "start refused: " + reply.outcome());
-        }
+        onStartNotConfirmed(start, reply.outcome(), repeated);
       }
     }
     events.warn(
@@ -528,6 +509,27 @@
         repeated);
   }
 
+  private void onStartNotConfirmed(
+      StartQueue.Waiting start, CallOutcome outcome, boolean repeated) {
+    WorkerState worker = start.worker();
+    Attempt attempt = start.attempt();
+    if (outcome == CallOutcome.UNKNOWN) {
+      attempt.moveTo(Attempt.State.UNCERTAIN, time.steadyMillis());
+      if (!repeated && !attempt.isStopRequested() && listener.mayStart()) {
+        // Harmless if the first call has taken effect or does so later.
+        send(start);
+      } else {
+        stopUncertain(worker, attempt);
+      }
+    } else if (repeated) {
+      // The first call may have started the run, or may still do so.
+      stopUncertain(worker, attempt);
+    } else {
+      worker.quarantine(time.steadyMillis() + REFUSAL_QUARANTINE_MILLIS);
+      endAttempt(worker, attempt, RunEnd.STOPPED, "", "start refused: " + outcome);
+    }
+  }
+
   /** Stops a run of which it is not known whether it has started, or will. */
   private void stopUncertain(WorkerState worker, Attempt attempt) {
     attempt.requestStop(time.steadyMillis());
