--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
@@ -20,7 +20,6 @@
     private final PlanView.WorkerView worker;
     private final Map<StepId, Integer> tasksByStep;
     private Capacity free;
-    private Capacity freeForPreemptible;
     private Capacity freeAfterStops;
     private Capacity claimed = Capacity.NONE;
     private Capacity heldForGangs = Capacity.NONE;
@@ -32,7 +31,6 @@
     private Entry(PlanView.WorkerView worker) {
       this.worker = worker;
       free = worker.free();
-      freeForPreemptible = free;
       freeAfterStops = worker.freeAfterStops();
       preemptibleAccelerators = worker.preemptibleAccelerators();
       tasksByStep = new HashMap<>(worker.tasksByStep());
@@ -66,9 +64,7 @@
               && (pending.durationMillis() <= heldFromMillis
                   || (heldByPreemptor && pending.isPreemptibleWithoutLoss()));
       Capacity usable =
-          mayUseHeld
-              ? min(freeForPreemptible, freeAfterStops.minus(claimed))
-              : min(free, freeAfterStops(pending));
+          min(free, mayUseHeld ? freeAfterStops.minus(claimed) : freeAfterStops(pending));
       return limitCount(pending, usable.maxCount(pending.spec().reserved()), limit);
     }
 
@@ -102,7 +98,6 @@
 
     void allocate(PlanView.PendingStep pending) {
       free = free.minus(pending.spec().reserved());
-      freeForPreemptible = freeForPreemptible.minus(pending.spec().reserved());
       if (pending.isPreemptibleWithoutLoss()) {
         preemptibleAccelerators += pending.spec().reserved().accelerators();
       }
@@ -148,7 +143,6 @@
     /** Makes capacity that a reservation waits for unavailable to later steps of the pass. */
     void protectReservation() {
       free = min(free, freeAfterStops);
-      freeForPreemptible = min(freeForPreemptible, freeAfterStops);
     }
 
     /**
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/CapacityClaimTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/CapacityClaimTest.java
@@ -6,6 +6,8 @@
 import static org.peridotroute.scheduler.plan.PlanFixtures.pending;
 import static org.peridotroute.scheduler.plan.PlanFixtures.running;
 import static org.peridotroute.scheduler.plan.PlanFixtures.stepId;
+import static org.peridotroute.scheduler.plan.PlanFixtures.urgent;
+import static org.peridotroute.scheduler.plan.PlanFixtures.waitingSince;
 import static org.peridotroute.scheduler.plan.PlanFixtures.worker;
 
 import java.util.ArrayList;
@@ -112,33 +114,7 @@
   }
 
   private static RunningTask borrowing(int job, int worker) {
-    RunningTask run = running(job, worker, 8, false, 1_000);
-    return new RunningTask(
-        run.task(),
-        run.run(),
-        run.worker(),
-        run.held(),
-        0,
-        false,
-        false,
-        run.unsavedMillis(),
-        run.remainingMillis());
-  }
-
-  private static PendingStep waitingSince(PendingStep pending, long sinceMillis) {
-    return new PendingStep(
-        pending.step(),
-        pending.spec(),
-        pending.service(),
-        pending.tasks(),
-        pending.priority(),
-        pending.guaranteed(),
-        sinceMillis,
-        pending.objectiveMillis(),
-        pending.expiryMillis(),
-        pending.durationMillis(),
-        pending.remainingMillis(),
-        pending.excludedWorkers());
+    return urgent(running(job, worker, 8, false, 1_000), false, PlanFixtures.REMAINING_MILLIS);
   }
 
   @Test
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/LoadPatternTest.java
@@ -2,9 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.peridotroute.scheduler.plan.PlanFixtures.NOW;
+import static org.peridotroute.scheduler.plan.PlanFixtures.lasting;
 import static org.peridotroute.scheduler.plan.PlanFixtures.pending;
 import static org.peridotroute.scheduler.plan.PlanFixtures.running;
 import static org.peridotroute.scheduler.plan.PlanFixtures.stepId;
+import static org.peridotroute.scheduler.plan.PlanFixtures.urgent;
+import static org.peridotroute.scheduler.plan.PlanFixtures.waitingSince;
+import static org.peridotroute.scheduler.plan.PlanFixtures.withTimes;
 import static org.peridotroute.scheduler.plan.PlanFixtures.worker;
 
 import java.util.ArrayList;
@@ -151,27 +155,6 @@
     return withTimes(pending, false, pending.waitingSinceMillis(), objectiveMillis, expiryMillis);
   }
 
-  private static PendingStep withTimes(
-      PendingStep pending,
-      boolean guaranteed,
-      long waitingSinceMillis,
-      long objectiveMillis,
-      long expiryMillis) {
-    return new PendingStep(
-        pending.step(),
-        pending.spec(),
-        pending.service(),
-        pending.tasks(),
-        pending.priority(),
-        guaranteed,
-        waitingSinceMillis,
-        objectiveMillis,
-        expiryMillis,
-        pending.durationMillis(),
-        pending.remainingMillis(),
-        pending.excludedWorkers());
-  }
-
   private static List<Integer> startedJobs(List<PlacementDecision> decisions) {
     List<Integer> jobs = new ArrayList<>();
     for (PlacementDecision decision : decisions) {
@@ -231,7 +214,7 @@
     PendingStep gang = pending(1, gangPriority, 1, 8, true, false);
     PendingStep tasks = lasting(pending(2, 2, 6, 1, false, true), taskMillis);
     List<WorkerView> fragmented = List.of(worker(0, 4, 0), worker(1, 2, 0));
-    RunningTask blocking = borrowing(running(3, 0, 4, false, 0), gangWaitMillis);
+    RunningTask blocking = urgent(running(3, 0, 4, false, 0), true, gangWaitMillis);
     return decide(fragmented, List.of(gang, tasks), List.of(blocking), 0).stream()
         .filter(decision -> decision instanceof PlacementDecision.Start)
         .map(decision -> ((PlacementDecision.Start) decision).workers())
@@ -239,36 +222,6 @@
         .orElseThrow();
   }
 
-  /** Returns an urgent run, which no step of these tests may preempt. */
-  private static RunningTask borrowing(RunningTask run, long remainingMillis) {
-    return new RunningTask(
-        run.task(),
-        run.run(),
-        run.worker(),
-        run.held(),
-        0,
-        true,
-        run.gang(),
-        run.unsavedMillis(),
-        remainingMillis);
-  }
-
-  private static PendingStep lasting(PendingStep pending, long durationMillis) {
-    return new PendingStep(
-        pending.step(),
-        pending.spec(),
-        pending.service(),
-        pending.tasks(),
-        pending.priority(),
-        pending.guaranteed(),
-        pending.waitingSinceMillis(),
-        pending.objectiveMillis(),
-        pending.expiryMillis(),
-        durationMillis,
-        durationMillis,
-        pending.excludedWorkers());
-  }
-
   @Test
   void preemptibleWorkUsesCapacityHeldForUrgentGang() {
     assertThat(tasksBesideHeldCapacity(0, 9_000, 4_000)).hasSize(6);
@@ -292,8 +245,8 @@
     PendingStep tasks = lasting(pending(2, 2, 8, 1, false, false), 9_000);
     List<RunningTask> running =
         List.of(
-            borrowing(running(3, 0, 4, false, 0), 8_000),
-            borrowing(running(4, 4, 4, false, 0), 1_000));
+            urgent(running(3, 0, 4, false, 0), true, 8_000),
+            urgent(running(4, 4, 4, false, 0), true, 1_000));
     List<PlacementDecision> decisions =
         decide(List.of(worker(0, 4, 0), worker(4, 4, 0)), List.of(gang, tasks), running, 0);
     assertThat(((PlacementDecision.Start) decisions.get(0)).workers().values().stream().distinct())
@@ -340,15 +293,6 @@
     return workers;
   }
 
-  private static PendingStep waitingSince(PendingStep pending, long waitingSinceMillis) {
-    return withTimes(
-        pending,
-        pending.guaranteed(),
-        waitingSinceMillis,
-        pending.objectiveMillis(),
-        pending.expiryMillis());
-  }
-
   @Test
   void gangIsPlacedAcrossRacksWhenMostCapacityIsIdle() {
     PendingStep gang = pending(1, 1, 5, 4, true, false);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/PlanFixtures.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/PlanFixtures.java
@@ -90,4 +90,64 @@
         unsavedMillis,
         REMAINING_MILLIS);
   }
+
+  static PendingStep withTimes(
+      PendingStep pending,
+      boolean guaranteed,
+      long waitingSinceMillis,
+      long objectiveMillis,
+      long expiryMillis) {
+    return new PendingStep(
+        pending.step(),
+        pending.spec(),
+        pending.service(),
+        pending.tasks(),
+        pending.priority(),
+        guaranteed,
+        waitingSinceMillis,
+        objectiveMillis,
+        expiryMillis,
+        pending.durationMillis(),
+        pending.remainingMillis(),
+        pending.excludedWorkers());
+  }
+
+  static PendingStep waitingSince(PendingStep pending, long waitingSinceMillis) {
+    return withTimes(
+        pending,
+        pending.guaranteed(),
+        waitingSinceMillis,
+        pending.objectiveMillis(),
+        pending.expiryMillis());
+  }
+
+  static PendingStep lasting(PendingStep pending, long durationMillis) {
+    return new PendingStep(
+        pending.step(),
+        pending.spec(),
+        pending.service(),
+        pending.tasks(),
+        pending.priority(),
+        pending.guaranteed(),
+        pending.waitingSinceMillis(),
+        pending.objectiveMillis(),
+        pending.expiryMillis(),
+        durationMillis,
+        durationMillis,
+        pending.excludedWorkers());
+  }
+
+  /** Returns an urgent copy of a run. */
+  static RunningTask urgent(RunningTask run, boolean guaranteed, long remainingMillis) {
+    return new RunningTask(
+        run.task(),
+        run.run(),
+        run.worker(),
+        run.held(),
+        0,
+        guaranteed,
+        run.gang(),
+        run.unsavedMillis(),
+        remainingMillis);
+  }
 }
