Give claims a class of their own, repeat starts to known workers only

ClaimTable takes the handling of claims out of GangFirstPlacer; no change of decisions. A start is repeated only while the worker's incarnation is known; after a restart that was noticed in between the run is stopped and looked up, as other uncertain runs are.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -515,7 +515,9 @@
     Attempt attempt = start.attempt();
     if (outcome == CallOutcome.UNKNOWN) {
       attempt.moveTo(Attempt.State.UNCERTAIN, time.steadyMillis());
-      if (!repeated && !attempt.isStopRequested() && listener.mayStart()) {
+      boolean mayRepeat =
+          !repeated && !attempt.isStopRequested() && worker.hasSeenToken() && listener.mayStart();
+      if (mayRepeat) {
         // Harmless if the first call has taken effect or does so later.
         send(start);
       } else {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import org.peridotroute.lib.WorkerId;
-import org.peridotroute.scheduler.model.StepId;
 
 /**
  * Places pending steps by priority, then guarantee, then by whether they can still meet their
@@ -61,8 +60,9 @@
     private final VictimSelector victimSelector;
     private final EarliestStart earliestStart;
     private final List<PlacementDecision> decisions = new ArrayList<>();
-    private final Map<StepId, CapacityClaim> claims = new HashMap<>();
-    private CapacityClaim released;
+    private final List<PlanView.PendingStep> queue;
+    private final ClaimTable claims;
+    private CapacityClaim ownClaim;
     private long heldAccelerators;
 
     Pass(PlanView view) {
@@ -70,17 +70,17 @@
       ledger = new CapacityLedger(view.workers());
       victimSelector = new VictimSelector(view.runningTasks());
       earliestStart = new EarliestStart(view.runningTasks());
+      queue = new ArrayList<>(view.pendingSteps());
+      queue.sort(queueOrder(view.nowMillis()));
+      claims = new ClaimTable(ledger, view.claims(), queue);
     }
 
     List<PlacementDecision> run() {
-      List<PlanView.PendingStep> queue = new ArrayList<>(view.pendingSteps());
-      queue.sort(queueOrder(view.nowMillis()));
-      applyClaims(queue);
       for (PlanView.PendingStep pending : queue) {
         if (isReclaimDue(pending)) {
-          dropClaimsWithoutGuarantee(queue);
+          claims.dropThoseWithoutGuarantee();
         }
-        released = releaseClaim(pending);
+        ownClaim = claims.release(pending);
         List<CapacityLedger.Entry> candidates = ledger.candidates(pending);
         if (pending.spec().gang()) {
           placeGang(pending, candidates);
@@ -91,70 +91,22 @@
       return decisions;
     }
 
-    /** Applies the claims of earlier passes that can still be met. */
-    private void applyClaims(List<PlanView.PendingStep> queue) {
-      Map<StepId, CapacityClaim> byStep = new HashMap<>();
-      view.claims().forEach(claim -> byStep.put(claim.step(), claim));
-      for (PlanView.PendingStep pending : queue) {
-        CapacityClaim claim = byStep.get(pending.step());
-        if (claim != null && canMeet(pending, claim)) {
-          claims.put(claim.step(), claim);
-          claim
-              .tasksByWorker()
-              .forEach((worker, tasks) -> ledger.entry(worker).claim(pending, tasks));
-        }
-      }
-    }
-
-    /** Drops the claims of steps without a guarantee in favour of a guaranteed one that is due. */
-    private void dropClaimsWithoutGuarantee(List<PlanView.PendingStep> queue) {
-      for (PlanView.PendingStep pending : queue) {
-        if (!pending.guaranteed()) {
-          releaseClaim(pending);
-        }
-      }
-    }
-
-    private boolean canMeet(PlanView.PendingStep pending, CapacityClaim claim) {
-      return claim.tasksByWorker().entrySet().stream()
-          .allMatch(
-              claimed -> {
-                CapacityLedger.Entry entry = ledger.entry(claimed.getKey());
-                return entry != null
-                    && !pending.excludedWorkers().contains(claimed.getKey())
-                    && entry.countFittingAfterStops(pending, claimed.getValue())
-                        >= claimed.getValue();
-              });
-    }
-
-    /** Releases the claim of a step and returns it, or null if the step has none. */
-    private CapacityClaim releaseClaim(PlanView.PendingStep pending) {
-      CapacityClaim claim = claims.remove(pending.step());
-      if (claim != null) {
-        claim
-            .tasksByWorker()
-            .forEach((worker, tasks) -> ledger.entry(worker).releaseClaim(pending, tasks));
-      }
-      return claim;
-    }
-
     /**
      * Returns whether the claim of a step provides for its remaining tasks, and keeps their
      * capacity if it does.
      */
     private boolean keepClaim(PlanView.PendingStep pending, int remaining) {
-      CapacityClaim claim = released;
-      if (claim == null) {
+      if (ownClaim == null) {
         return false;
       }
+      Map<WorkerId, Integer> tasksByWorker = ownClaim.tasksByWorker();
       List<CapacityLedger.Entry> entries =
-          claim.tasksByWorker().keySet().stream().sorted().map(ledger::entry).toList();
+          tasksByWorker.keySet().stream().sorted().map(ledger::entry).toList();
       int fitting =
           entries.stream()
               .mapToInt(
                   entry ->
-                      entry.countFittingAfterStops(
-                          pending, claim.tasksByWorker().get(entry.worker().id())))
+                      entry.countFittingAfterStops(pending, tasksByWorker.get(entry.worker().id())))
               .sum();
       if (fitting < remaining) {
         return false;
