--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -53,8 +53,8 @@
   private static final long MIN_PASS_INTERVAL_MILLIS = 15;
 
   /**
-   * Multiple of the duration of a pass that lies between two passes at least, so that on a slow
-   * processor replies of workers and of the log are not left waiting.
+   * Shortest time between the starts of two passes, as a multiple of the duration of the first. It
+   * leaves time for the replies of workers and of the log on a slow processor.
    */
   private static final long PASS_INTERVAL_FACTOR = 4;
 
