Start gangs on capacity that they have claimed across racks

Cause, found by reading the change: a gang that no rack can hold claims workers of several racks. Later passes looked for a start in whole racks alone and then renewed the claim, so the gang never started on what had been freed for it, until a rack came free or the claim broke.

Change: a gang starts on its claim as soon as all of it is free. CapacityClaimTest.gangStartsOnCapacityClaimedAcrossRacks failed before (a renewed claim instead of a start).

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -91,22 +91,35 @@
       return decisions;
     }
 
+    /** Returns the workers on which the step at hand has claimed capacity. */
+    private List<CapacityLedger.Entry> claimedEntries() {
+      return ownClaim == null
+          ? List.of()
+          : ownClaim.tasksByWorker().keySet().stream().sorted().map(ledger::entry).toList();
+    }
+
+    /** Starts a gang on the capacity that it has claimed, if all of it is free. */
+    private boolean startOnClaim(PlanView.PendingStep pending, int members) {
+      List<CapacityLedger.Entry> entries = claimedEntries();
+      if (bestFit(pending, List.of(entries), members) == null) {
+        return false;
+      }
+      addStart(pending, allocate(pending, entries, members));
+      return true;
+    }
+
     /**
      * Returns whether the claim of a step provides for its remaining tasks, and keeps their
      * capacity if it does.
      */
     private boolean keepClaim(PlanView.PendingStep pending, int remaining) {
-      if (ownClaim == null) {
-        return false;
-      }
-      Map<WorkerId, Integer> tasksByWorker = ownClaim.tasksByWorker();
-      List<CapacityLedger.Entry> entries =
-          tasksByWorker.keySet().stream().sorted().map(ledger::entry).toList();
+      List<CapacityLedger.Entry> entries = claimedEntries();
       int fitting =
           entries.stream()
               .mapToInt(
                   entry ->
-                      entry.countFittingAfterStops(pending, tasksByWorker.get(entry.worker().id())))
+                      entry.countFittingAfterStops(
+                          pending, ownClaim.tasksByWorker().get(entry.worker().id())))
               .sum();
       if (fitting < remaining) {
         return false;
@@ -127,7 +140,9 @@
         addStart(pending, allocate(pending, best, members));
         return;
       }
-      if (keepClaim(pending, members) || reserveStoppingCapacity(pending, groups, members)) {
+      if (startOnClaim(pending, members)
+          || keepClaim(pending, members)
+          || reserveStoppingCapacity(pending, groups, members)) {
         return;
       }
       if (mayPreempt(pending) && preempt(pending, groups, members)) {
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/CapacityClaimTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/CapacityClaimTest.java
@@ -155,4 +155,32 @@
     pass();
     assertThat(claims.stream().map(CapacityClaim::step).toList()).containsExactly(stepId(1));
   }
+
+  /** No rack can be emptied for the gang, so it claims workers of two racks. */
+  @Test
+  void gangStartsOnCapacityClaimedAcrossRacks() {
+    for (int i = 0; i < WORKERS; i++) {
+      running.add(i % 4 < 2 ? running(100 + i, i, 8, false, 1_000) : borrowing(100 + i, i));
+    }
+    PendingStep gang = waitingSince(pending(1, 0, 4, 8, true, false), NOW - 1_400);
+    waiting.add(gang);
+    assertThat(pass()).isEqualTo(4);
+    List<WorkerView> workers = new ArrayList<>();
+    for (int i = 0; i < WORKERS; i++) {
+      workers.add(worker(i, i % 4 < 2 ? 8 : 0, 0));
+    }
+    List<PlacementDecision> decisions =
+        PLACER.decide(
+            new PlanView(
+                NOW,
+                workers,
+                waiting,
+                running.stream().filter(run -> !stopping.contains(run.worker())).toList(),
+                0,
+                claims));
+    assertThat(decisions).hasSize(1);
+    assertThat(((PlacementDecision.Start) decisions.get(0)).workers().values())
+        .containsExactly(
+            new WorkerId("w-0"), new WorkerId("w-1"), new WorkerId("w-4"), new WorkerId("w-5"));
+  }
 }
