Log under which circumstances a run is lost with its worker

The log could not tell a crash under a task from a cut, a drain or a failure that several workers share. run-ended and worker-gone now say what else ran there, how old the run was when the worker fell silent and how many other workers fell silent at the same time. Log events of the dispatcher move into DispatchEvents. No decision changes, but one: the clock in a reply of another incarnation is no longer recorded as the called worker's clock.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -41,6 +41,8 @@
   private boolean stopInFlight;
   private boolean ended;
   private long settledSequence = Long.MAX_VALUE;
+  private long sentMillis;
+  private CrashEvidence crash;
   private long stateSinceMillis;
   private long retryStopMillis;
   private int percent;
@@ -53,6 +55,7 @@
     this.held = held;
     this.state = state;
     this.current = current;
+    sentMillis = nowMillis;
     stateSinceMillis = nowMillis;
     checkpointMillis = nowMillis;
     progressChangedMillis = nowMillis;
@@ -78,6 +81,32 @@
   void moveTo(State next, long nowMillis) {
     state = next;
     stateSinceMillis = nowMillis;
+    if (next == State.SENT) {
+      sentMillis = nowMillis;
+    }
+  }
+
+  /**
+   * Returns the steady time at which the start was sent or, for a run that an earlier planner
+   * started, at which this planner learnt of it.
+   */
+  long sentMillis() {
+    return sentMillis;
+  }
+
+  /** Records that the worker has crashed with this run. */
+  void markCrashed(CrashEvidence evidence) {
+    crash = evidence;
+  }
+
+  /** Records that the run is known to have begun after the crash of the worker. */
+  void clearCrash() {
+    crash = null;
+  }
+
+  /** Returns the circumstances of the crash that ended this run, null if the worker lives. */
+  CrashEvidence crash() {
+    return crash;
   }
 
   long stateSinceMillis() {
--- /dev/null
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchEvents.java
@@ -0,0 +1,114 @@
+package org.peridotroute.scheduler.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.peridotroute.scheduler.plan.PlacementDecision;
+import org.peridotroute.scheduler.port.Events;
+import org.peridotroute.scheduler.port.Time;
+import org.peridotroute.scheduler.port.WorkerGateway.RunEnd;
+import org.peridotroute.scheduler.table.Job;
+import org.peridotroute.scheduler.table.StepProgress;
+
+/** Log events of the planner's decisions, with the inputs that decided them. */
+final class DispatchEvents {
+  private final Events events;
+  private final Time time;
+  private final Term term;
+  private final DurationEstimator durationEstimator;
+
+  DispatchEvents(Events events, Time time, Term term, DurationEstimator durationEstimator) {
+    this.events = events;
+    this.time = time;
+    this.term = term;
+    this.durationEstimator = durationEstimator;
+  }
+
+  void onPlaced(PlacementDecision.Start start, Job job, StepProgress step, int run) {
+    events.info(
+        "step-placed",
+        "job",
+        job.submission().id(),
+        "step",
+        step.id(),
+        "run",
+        run,
+        "priority",
+        job.submission().terms().priority(),
+        "accelerators",
+        step.spec().reserved().accelerators(),
+        "gang",
+        step.spec().gang(),
+        "saves",
+        step.spec().checkpoints(),
+        "declaredMillis",
+        step.spec().estimateMillis(),
+        "expectedMillis",
+        durationEstimator.taskMillis(job.submission(), step.spec()),
+        "image",
+        String.valueOf(step.spec().image()),
+        "tasks",
+        start.workers().size(),
+        "workers",
+        start.workers().values(),
+        "waitedMillis",
+        time.wallMillis() - job.submission().acceptedAtMillis(),
+        "epoch",
+        term.epoch());
+  }
+
+  void onPreempted(PlacementDecision.Preempt decision, StepProgress step) {
+    events.info(
+        "run-preempted",
+        "job",
+        decision.task().job(),
+        "task",
+        decision.task(),
+        "run",
+        decision.run(),
+        "saves",
+        step.spec().checkpoints(),
+        "for",
+        decision.beneficiary());
+  }
+
+  void onRunEnded(
+      WorkerState workerState, Attempt attempt, RunEnd end, String evidence, boolean counted) {
+    List<Object> fields =
+        new ArrayList<>(
+            List.of(
+                "job",
+                attempt.key().task().job(),
+                "task",
+                attempt.key().task(),
+                "run",
+                attempt.key().run(),
+                "worker",
+                workerState.id(),
+                "end",
+                end,
+                "evidence",
+                evidence,
+                "tookMillis",
+                time.steadyMillis() - attempt.stateSinceMillis(),
+                "counted",
+                counted));
+    CrashEvidence crash = attempt.crash();
+    if (crash != null) {
+      fields.addAll(
+          List.of(
+              "startConfirmed",
+              attempt.state() == Attempt.State.RUNNING,
+              "silentAfterMillis",
+              crash.ageMillis(),
+              "otherJobs",
+              crash.otherJobs(),
+              "othersSilent",
+              crash.othersSilent()));
+    }
+    events.info("run-ended", fields.toArray());
+  }
+
+  void onJobEnded(Job job) {
+    events.info("job-ended", "job", job.submission().id(), "phase", job.phase());
+  }
+}
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -66,7 +66,7 @@
   private final Term term;
   private final DispatchSettings settings;
   private final Time time;
-  private final Events events;
+  private final DispatchEvents dispatchEvents;
   private final Placer placer;
   private final Journal journal;
   private final WorkerManager workerManager;
@@ -122,7 +122,7 @@
     this.onPhaseStored = onPhaseStored;
     this.onSuperseded = onSuperseded;
     time = ports.time();
-    events = ports.events();
+    dispatchEvents = new DispatchEvents(ports.events(), time, term, durationEstimator);
     placer = ports.placer();
     viewBuilder =
         new PlanViewBuilder(
@@ -135,11 +135,12 @@
             term,
             ports.control(),
             time,
-            events,
+            ports.events(),
             outcome -> stepDown("log append ended with " + outcome),
             settings.maxProofAgeMillis());
     workerManager =
-        new WorkerManager(ports.gateway(), settings, term, ports.control(), time, events, this);
+        new WorkerManager(
+            ports.gateway(), settings, term, ports.control(), time, ports.events(), this);
   }
 
   /** Returns the term. */
@@ -324,43 +325,10 @@
               plannedAttempts.add(new PlannedAttempt(workerState, attempt));
             });
     storeProgress(job);
-    logPlaced(start, job, step, run);
+    dispatchEvents.onPlaced(start, job, step, run);
     journal.afterStored(() -> sendStarts(job, step, plannedAttempts));
   }
 
-  private void logPlaced(PlacementDecision.Start start, Job job, StepProgress step, int run) {
-    events.info(
-        "step-placed",
-        "job",
-        job.submission().id(),
-        "step",
-        step.id(),
-        "run",
-        run,
-        "priority",
-        job.submission().terms().priority(),
-        "accelerators",
-        step.spec().reserved().accelerators(),
-        "gang",
-        step.spec().gang(),
-        "saves",
-        step.spec().checkpoints(),
-        "declaredMillis",
-        step.spec().estimateMillis(),
-        "expectedMillis",
-        durationEstimator.taskMillis(job.submission(), step.spec()),
-        "image",
-        String.valueOf(step.spec().image()),
-        "tasks",
-        start.workers().size(),
-        "workers",
-        start.workers().values(),
-        "waitedMillis",
-        time.wallMillis() - job.submission().acceptedAtMillis(),
-        "epoch",
-        term.epoch());
-  }
-
   /** An attempt whose assignment is about to be stored. */
   private record PlannedAttempt(WorkerState workerState, Attempt attempt) {}
 
@@ -401,18 +369,7 @@
     if (step == null) {
       return;
     }
-    events.info(
-        "run-preempted",
-        "job",
-        decision.task().job(),
-        "task",
-        decision.task(),
-        "run",
-        decision.run(),
-        "saves",
-        step.spec().checkpoints(),
-        "for",
-        decision.beneficiary());
+    dispatchEvents.onPreempted(decision, step);
     if (step.spec().gang()) {
       stopStep(step, decision.run());
     } else {
@@ -485,24 +442,7 @@
     StepProgress step = job == null ? null : job.step(task).orElse(null);
     boolean current =
         job != null && job.endRun(task, attempt.key().run(), workerState.id(), end, checkpoint);
-    events.info(
-        "run-ended",
-        "job",
-        task.job(),
-        "task",
-        task,
-        "run",
-        attempt.key().run(),
-        "worker",
-        workerState.id(),
-        "end",
-        end,
-        "evidence",
-        evidence,
-        "tookMillis",
-        time.steadyMillis() - attempt.stateSinceMillis(),
-        "counted",
-        current);
+    dispatchEvents.onRunEnded(workerState, attempt, end, evidence, current);
     if (!current) {
       return;
     }
@@ -514,7 +454,7 @@
       stopStep(step, attempt.key().run());
     }
     if (job.phase().isEnded()) {
-      events.info("job-ended", "job", task.job(), "phase", job.phase());
+      dispatchEvents.onJobEnded(job);
       stopRuns(job);
     }
     storeProgress(job);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -79,6 +79,7 @@
   private final Listener listener;
   private final Map<WorkerId, WorkerState> workers = new TreeMap<>();
   private final StartQueue starts;
+  private final WorkerSilences silences = new WorkerSilences();
   private final long inheritedLeasesExpireMillis;
   private long lastSequence;
   private boolean closed;
@@ -200,7 +201,20 @@
   }
 
   private void onWorkerGone(WorkerState worker, String evidence) {
-    events.info("worker-gone", "worker", worker.id(), "evidence", evidence);
+    boolean crashed = !worker.info().draining();
+    events.info(
+        "worker-gone",
+        "worker",
+        worker.id(),
+        "evidence",
+        evidence,
+        "crashed",
+        crashed,
+        "runs",
+        worker.attempts().size());
+    if (crashed) {
+      silences.markCrashed(worker, time.steadyMillis());
+    }
     worker.markUnlisted();
     endSentAttempts(worker, evidence);
   }
@@ -314,6 +328,7 @@
           outcome,
           "runs",
           worker.attempts().size());
+      silences.begin(worker, time.steadyMillis());
     }
     worker.onNoReply();
   }
@@ -327,7 +342,9 @@
     boolean hadSeenToken = worker.hasSeenToken();
     if (hadSeenToken && reply.startedAtMillis() != worker.startedAtMillis()) {
       events.info("worker-reborn", "worker", worker.id(), "bornMillis", reply.startedAtMillis());
-      worker.resetIncarnation();
+      onIncarnationReplaced(worker);
+    } else {
+      silences.end(worker);
     }
     worker.onReplyClock(reply.clockMillis(), now);
     if (!worker.hasSeenToken()) {
@@ -352,6 +369,14 @@
     acknowledgeEndsOnceStored(worker, reply);
   }
 
+  /** Handles a restart of a worker under its former id. Its next poll shows which runs it lost. */
+  private void onIncarnationReplaced(WorkerState worker) {
+    if (!worker.info().draining()) {
+      silences.markCrashed(worker, time.steadyMillis());
+    }
+    worker.resetIncarnation();
+  }
+
   private void acknowledgeEndsOnceStored(WorkerState worker, PollReply reply) {
     long lastEnd = worker.lastSeenEnd();
     if (reply.ended().isEmpty()) {
@@ -378,6 +403,7 @@
     if (attempt.state() != Attempt.State.RUNNING) {
       attempt.moveTo(Attempt.State.RUNNING, now);
     }
+    attempt.clearCrash();
     attempt.markSettled(++lastSequence);
     attempt.onProgress(task.percent(), task.checkpoint(), now);
   }
@@ -457,8 +483,10 @@
   record StartParameters(String payload, String checkpoint, int priority) {}
 
   private void recordReplyClock(WorkerState worker, CallReply reply) {
-    if (reply.clockMillis() >= 0 && worker.onReplyClock(reply.clockMillis(), time.steadyMillis())) {
-      worker.resetIncarnation();
+    // The clock of another incarnation says nothing of the one that was called.
+    boolean hasClock = reply.clockMillis() >= 0 && reply.outcome() != CallOutcome.OTHER_LIFE;
+    if (hasClock && worker.onReplyClock(reply.clockMillis(), time.steadyMillis())) {
+      onIncarnationReplaced(worker);
       worker.pollNow();
     }
   }
@@ -487,6 +515,7 @@
               worker, attempt, RunEnd.FAILED, "", "the worker rejected the start as malformed");
       default -> {
         if (reply.outcome() == CallOutcome.UNKNOWN && worker.lastReplyMillis() < sentMillis) {
+          silences.begin(worker, time.steadyMillis());
           worker.onNoReply();
         }
         if (attempt.state() == Attempt.State.RUNNING) {
