--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Capacity.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Capacity.java
@@ -42,6 +42,19 @@
         accelerators - other.accelerators);
   }
 
+  /**
+   * Returns the greater amount of each resource.
+   *
+   * @param other the other capacity
+   * @return the maximum in every dimension
+   */
+  public Capacity max(Capacity other) {
+    return new Capacity(
+        Math.max(milliCores, other.milliCores),
+        Math.max(memoryMb, other.memoryMb),
+        Math.max(accelerators, other.accelerators));
+  }
+
   /**
    * Returns whether a task's need fits into this capacity.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
@@ -32,4 +32,24 @@
   public WorkerInfo {
     labels = List.copyOf(labels);
   }
+
+  /**
+   * Returns a copy with another capacity.
+   *
+   * @param other the capacity
+   * @return the copy
+   */
+  public WorkerInfo withCapacity(Capacity other) {
+    return new WorkerInfo(
+        id,
+        service,
+        address,
+        dataCentre,
+        rack,
+        labels,
+        other,
+        draining,
+        remainingMillis,
+        startedAtMillis);
+  }
 }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
@@ -103,8 +103,8 @@
                 MIN_LATE_MILLIS + random.nextInt(LATE_RANGE_MILLIS),
                 () -> {
                   // A call names the incarnation that it is for; later ones reject it.
+                  addressee.advance();
                   if (!addressee.isTerminated()) {
-                    addressee.advance();
                     oracle.setLateCall(true);
                     var unused = request.apply(addressee);
                     oracle.setLateCall(false);
@@ -112,6 +112,10 @@
                 });
           } else {
             host.incarnation.advance();
+            if (host.incarnation.isTerminated()) {
+              time.after(callTimeoutMillis, () -> answer.complete(unknown));
+              return;
+            }
             T reply = request.apply(host.incarnation);
             time.after(1 + random.nextInt(12), () -> answer.complete(reply));
           }
@@ -163,11 +167,11 @@
       time.after(1 + random.nextInt(12), () -> answer.complete(failedPoll(CallOutcome.OTHER_LIFE)));
       return;
     }
+    worker.advance();
     if (host.disconnected || worker.isTerminated()) {
       time.after(callTimeoutMillis, () -> answer.complete(unknown));
       return;
     }
-    worker.advance();
     PollReply reply = worker.poll(request);
     boolean answers =
         reply.outcome() != CallOutcome.DONE
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
@@ -4,7 +4,7 @@
 
 /** A worker of the simulation: its current incarnation and how the network reaches it. */
 final class WorkerHost {
-  final WorkerInfo info;
+  WorkerInfo info;
   WorkerModel incarnation;
   boolean disconnected;
 
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
@@ -30,6 +30,9 @@
     /** Called when a run of a task has ended. */
     void onEnded(WorkerModel worker, TaskId task, int run, RunEnd end);
 
+    /** Called when a worker crashes, before its runs end. */
+    void onCrashed(WorkerModel worker);
+
     /** Called when the scheduler has acknowledged that it has stored the end of a run. */
     void onAcknowledged(WorkerModel worker, TaskId task, int run, RunEnd end);
   }
@@ -41,8 +44,11 @@
    * @param workMillis run time; for a gang, only time during which all members are present counts
    * @param fails whether it fails at the end
    * @param members number of members of its gang, 0 for a task outside any gang
+   * @param crashAfterMillis time after its start at which it crashes the worker; {@code
+   *     Long.MAX_VALUE} for never
    */
-  public record Behaviour(Capacity held, long workMillis, boolean fails, int members) {}
+  public record Behaviour(
+      Capacity held, long workMillis, boolean fails, int members, long crashAfterMillis) {}
 
   /** Behaviour of the tasks, state of gangs on all workers, and time limits. */
   public interface Environment {
@@ -55,6 +61,9 @@
     /** Called when a member of a gang's run has ended, to end the other members too. */
     void onMemberEnded(TaskId task, int run, RunEnd end);
 
+    /** Called when a run crashes its worker; terminates the incarnation. */
+    void onCrash(WorkerModel worker);
+
     /** Returns the maximum duration of a lease, on the worker's clock. */
     long maxLeaseMillis();
 
@@ -66,10 +75,12 @@
     private final TaskId task;
     private final int run;
     private final Behaviour behaviour;
+    private final long startedAtMillis;
     private long remainingMillis;
     private long stopAtMillis = Long.MAX_VALUE;
 
-    Run(TaskId task, int run, Behaviour behaviour) {
+    Run(TaskId task, int run, Behaviour behaviour, long nowMillis) {
+      startedAtMillis = nowMillis;
       this.task = task;
       this.run = run;
       this.behaviour = behaviour;
@@ -168,6 +179,10 @@
       if (!running.containsKey(run.task)) {
         continue;
       }
+      if (now - run.startedAtMillis >= run.behaviour.crashAfterMillis()) {
+        environment.onCrash(this);
+        return;
+      }
       if (clockMillis() > leaseEndMillis) {
         end(run, RunEnd.LAPSED);
       } else if (now >= run.stopAtMillis) {
@@ -230,7 +245,8 @@
       return reply(CallOutcome.EXPIRED);
     }
     Behaviour behaviour = environment.behaviour(request.task(), request.run());
-    running.put(request.task(), new Run(request.task(), request.run(), behaviour));
+    Run started = new Run(request.task(), request.run(), behaviour, time.steadyMillis());
+    running.put(request.task(), started);
     observer.onStarted(this, request.task(), request.run(), behaviour.held());
     return reply(CallOutcome.DONE);
   }
