--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/CrashingTaskTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/CrashingTaskTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
