Start nothing on capacity that a worker no longer has

What callers would see: tasks on a worker that has shrunk are pushed over its memory.

Cause: capacity was read when a placement was decided and never again. A start that waited, for the log or for the link, went out with the capacity of then; after an outage it went out before the list of workers was read anew. On a worker whose accelerators were overcommitted, tasks without accelerators still started. Not the cause: passes, which always use the newest list, and negative free capacity, which counts as none for what it lacks.

Change: a start is withdrawn if its worker is overcommitted when it is sent (a gang whole), no start is sent while the list of workers is older than 3 s, and no task joins an overcommitted worker.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -58,6 +58,11 @@
    */
   private static final long PASS_INTERVAL_FACTOR = 4;
 
+  /**
+   * Age of the list of workers beyond which no starts are sent, because a worker may have shrunk.
+   */
+  private static final long MAX_WORKER_LIST_AGE_MILLIS = 3_000;
+
   /** Consecutive failures after which a worker gets no new work for a while. */
   private static final int QUARANTINE_AFTER_FAILURES = 2;
 
@@ -80,6 +85,7 @@
   private Configuration configuration;
   private boolean passNeeded = true;
   private boolean openJobsLeft;
+  private long workersCurrentAsOfMillis = Long.MIN_VALUE;
   private long lastPassMillis;
   private long lastPassTookMillis;
   private boolean closed;
@@ -232,6 +238,15 @@
     workerManager.onUnlisted(id);
   }
 
+  /**
+   * Sets the time up to which everything that workers published is known here.
+   *
+   * @param asOfMillis steady time
+   */
+  public void setWorkersCurrentAsOf(long asOfMillis) {
+    workersCurrentAsOfMillis = asOfMillis;
+  }
+
   /**
    * Sets the configuration in force.
    *
@@ -340,7 +355,9 @@
     }
     long now = time.steadyMillis();
     boolean allUsable =
-        plannedAttempts.stream().allMatch(planned -> planned.workerState().isUsable(now));
+        plannedAttempts.stream()
+            .map(PlannedAttempt::workerState)
+            .allMatch(worker -> worker.isUsable(now) && !worker.isOvercommitted());
     boolean gangComplete = !step.spec().gang() || allUsable;
     for (PlannedAttempt planned : plannedAttempts) {
       if (planned.attempt().isEnded()) {
@@ -506,7 +523,9 @@
 
   @Override
   public boolean mayStart() {
-    return time.steadyMillis() - journal.confirmedMillis() <= settings.maxProofAgeMillis();
+    long now = time.steadyMillis();
+    return now - journal.confirmedMillis() <= settings.maxProofAgeMillis()
+        && workersCurrentAsOfMillis >= now - MAX_WORKER_LIST_AGE_MILLIS;
   }
 
   @Override
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunCalls.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunCalls.java
@@ -65,6 +65,8 @@
         manager.withdraw(next.worker(), next.attempt(), "stopped before the start was sent");
       } else if (!next.worker().isUsable(time.steadyMillis())) {
         manager.withdraw(next.worker(), next.attempt(), "the assigned worker is no longer usable");
+      } else if (next.worker().isOvercommitted()) {
+        manager.withdraw(next.worker(), next.attempt(), "the assigned worker has shrunk");
       } else {
         next.attempt().moveTo(Attempt.State.SENT, time.steadyMillis());
         send(next);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -56,7 +56,7 @@
     /** Returns whether the log has confirmed the term recently, so that leases may be extended. */
     boolean mayExtendLeases();
 
-    /** Returns whether the log has proved the term so recently that runs may be started. */
+    /** Returns whether the term and the list of workers are known recently enough to start runs. */
     boolean mayStart();
 
     /** Called when a worker has seen a greater fencing token. */
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -244,6 +244,11 @@
     return consecutiveFailures;
   }
 
+  /** Returns whether the runs hold more than the worker has, which may have shrunk. */
+  boolean isOvercommitted() {
+    return free().isNegative();
+  }
+
   /** Returns the capacity that no run holds. */
   Capacity free() {
     return info.capacity().minus(heldBy(attempt -> true));
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Capacity.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Capacity.java
@@ -55,6 +55,11 @@
         Math.max(accelerators, other.accelerators));
   }
 
+  /** Returns whether any resource is negative, as on an overcommitted worker. */
+  public boolean isNegative() {
+    return milliCores < 0 || memoryMb < 0 || accelerators < 0;
+  }
+
   /**
    * Returns whether a task's need fits into this capacity.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -158,6 +158,7 @@
             : requests.currentAsOfMillis();
     if (dispatcher != null) {
       lastLogReplyMillis = Math.max(lastLogReplyMillis, dispatcher.confirmedMillis());
+      dispatcher.setWorkersCurrentAsOf(workers.currentAsOfMillis());
       dispatcher.tick();
     } else if (canPlan() && progress.isLoaded()) {
       role.claimIfVacant(progress.nextOffset(), this::onElected);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
@@ -63,6 +63,11 @@
      * @param limit upper bound of the result
      */
     int countFitting(PlanView.PendingStep pending, int limit) {
+      if (worker.free().isNegative()) {
+        // The worker has shrunk. No task may join it, not even one that needs none of what it
+        // lacks.
+        return 0;
+      }
       boolean mayUseHeld =
           !pending.spec().gang()
               && (pending.durationMillis() <= heldFromMillis
