Bound the progress of a job and of an append to what the log accepts

What callers would see: after one valid submission no job is served any more, by any planner, until it is removed by hand.

Cause: a job of 200,000 tasks was accepted, and so was one with 10,000 overdue occurrences. Its progress is larger than a record of the log, the append is never accepted, the planner cannot confirm its term, and its successor loads the same job. Likewise, all jobs changed since the last append went into one call, without a limit of its size.

Change: at most 6,000 tasks in a job (a clear 400 otherwise), as many open occurrences as fit into that, and appends of about 1 MB; actions that wait for an append run when all changes before them are stored.

LargeJobTest (two of three methods) and JournalTest failed before and pass; the emulated log now has the limits of the real one.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
@@ -1,12 +1,12 @@
 package org.peridotroute.scheduler.dispatch;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.KeyedLog;
 import org.peridotroute.scheduler.port.KeyedLog.AppendOutcome;
@@ -32,6 +32,9 @@
    */
   private static final long RETRY_MILLIS = 60;
 
+  /** Bytes of progress after which an append is full; half of what the log accepts in a call. */
+  private static final int MAX_APPEND_BYTES = 1_000_000;
+
   private final KeyedLog log;
   private final Term term;
   private final Executor control;
@@ -132,17 +135,24 @@
 
   private void startAppend(long now) {
     List<KeyedRecord> records = new ArrayList<>();
-    for (Job job : changedJobs) {
-      JobId id = job.submission().id();
-      records.add(KeyedRecord.of(id.value(), ProgressCodec.write(job)));
+    int bytes = 0;
+    Iterator<Job> changed = changedJobs.iterator();
+    while (changed.hasNext() && bytes < MAX_APPEND_BYTES) {
+      Job job = changed.next();
+      byte[] progress = ProgressCodec.write(job);
+      records.add(KeyedRecord.of(job.submission().id().value(), progress));
+      bytes += progress.length;
+      changed.remove();
     }
     if (records.isEmpty()) {
       records.add(term.record());
     }
-    changedJobs.clear();
     inFlight = records;
-    inFlightActions = pendingActions;
-    pendingActions = new ArrayList<>();
+    inFlightActions = List.of();
+    if (changedJobs.isEmpty()) {
+      inFlightActions = pendingActions;
+      pendingActions = new ArrayList<>();
+    }
     firstSentMillis = now;
   }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/JobRequest.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/JobRequest.java
@@ -7,7 +7,8 @@
  * Declaration of a job by its caller.
  *
  * @param payload passed unchanged to every task; at most {@value #MAX_PAYLOAD_BYTES} bytes
- * @param steps steps of the job, 1 to {@value #MAX_STEPS}
+ * @param steps steps of the job, 1 to {@value #MAX_STEPS}, with at most {@value #MAX_TASKS} tasks
+ *     together
  * @param schedule times at which the job runs
  */
 public record JobRequest(String payload, List<StepSpec> steps, Schedule schedule) {
@@ -17,6 +18,12 @@
   /** Maximum number of steps; limits the memory that one job takes on a VM. */
   public static final int MAX_STEPS = 100;
 
+  /**
+   * Maximum number of tasks of an occurrence, so that the progress of a job fits into one record of
+   * the log: about 25 bytes for a task, besides the names of the workers.
+   */
+  public static final int MAX_TASKS = 6_000;
+
   /** Checks the ranges, and that each step depends only on earlier ones. */
   public JobRequest {
     Checks.maxBytes("job.payload", payload, MAX_PAYLOAD_BYTES);
@@ -25,6 +32,16 @@
     for (int i = 0; i < steps.size(); i++) {
       steps.get(i).checkAfter(i);
     }
+    Checks.range("job.tasks", taskCount(steps), 1, MAX_TASKS);
+  }
+
+  private static int taskCount(List<StepSpec> steps) {
+    return steps.stream().mapToInt(StepSpec::count).sum();
+  }
+
+  /** Returns the number of tasks of one occurrence. */
+  public int taskCount() {
+    return taskCount(steps);
   }
 
   /** Returns whether any step is a service, which runs until the job is cancelled. */
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/Job.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/Job.java
@@ -5,6 +5,7 @@
 import java.util.TreeMap;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.JobPhase;
+import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.port.WorkerGateway.RunEnd;
@@ -49,14 +50,17 @@
   }
 
   /**
-   * Opens all occurrences that are due. Does nothing if the job has ended.
+   * Opens the occurrences that are due, as many as the progress has room for. Does nothing if the
+   * job has ended.
    *
    * @param wallMillis wall-clock time, in milliseconds since 1970
    * @return whether any occurrence was opened
    */
   public boolean openDueOccurrences(long wallMillis) {
     boolean opened = false;
+    int maxOpen = JobRequest.MAX_TASKS / submission.request().taskCount();
     while (!phase.isEnded()
+        && openOccurrences.size() < maxOpen
         && nextOccurrence < submission.request().schedule().occurrences()
         && submission.request().schedule().dueMillis(nextOccurrence) <= wallMillis) {
       openOccurrences.put(nextOccurrence, new Occurrence(submission, nextOccurrence));
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/LogModel.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/LogModel.java
@@ -19,6 +19,12 @@
   /** Number of fenced appends per topic whose answers are kept to answer repeats. */
   private static final int MAX_KEPT_REPLIES = 5;
 
+  /** Largest record, in bytes. */
+  private static final int MAX_RECORD_BYTES = 262_144;
+
+  /** Largest append, in bytes. */
+  private static final int MAX_APPEND_BYTES = 2_097_152;
+
   /** Records of one topic and the state of its fenced writer. */
   private static final class TopicState {
     private final List<KeyedRecord> records = new ArrayList<>();
@@ -46,6 +52,10 @@
    * @return the outcome and offsets
    */
   public AppendReply append(Topic to, List<KeyedRecord> records, long expectedEnd, Fence fence) {
+    if (isTooLarge(records)) {
+      // The platform states no status for this case, so that callers learn nothing from the reply.
+      return new AppendReply(AppendOutcome.UNKNOWN, -1, -1);
+    }
     TopicState topic = topic(to);
     long endOffset = topic.records.size();
     if (fence != null) {
@@ -80,6 +90,18 @@
     return reply;
   }
 
+  private static boolean isTooLarge(List<KeyedRecord> records) {
+    long totalBytes = 0;
+    for (KeyedRecord record : records) {
+      int bytes = record.value() == null ? 0 : record.value().length;
+      if (bytes > MAX_RECORD_BYTES) {
+        return true;
+      }
+      totalBytes += bytes;
+    }
+    return totalBytes > MAX_APPEND_BYTES;
+  }
+
   private static void recordFenced(TopicState topic, Fence fence, AppendReply reply) {
     if (fence.epoch() > topic.epoch) {
       topic.repliesBySequence.clear();
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedLogClient.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedLogClient.java
@@ -13,7 +13,7 @@
  * Client of the simulated log for one VM, with latency and the faults injected for that VM. Used by
  * one thread.
  */
-final class SimulatedLogClient implements KeyedLog {
+public final class SimulatedLogClient implements KeyedLog {
   private static final long LATENCY_MILLIS = 4;
   private static final long TIMEOUT_MILLIS = 1_500;
   private static final int JITTER_MILLIS = 6;
@@ -24,7 +24,14 @@
   private final LogModel log;
   private final Supplier<LogFault> fault;
 
-  SimulatedLogClient(VirtualTime time, Random random, LogModel log, Supplier<LogFault> fault) {
+  /**
+   * Creates the connection of one VM.
+   *
+   * @param log the log
+   * @param fault fault of the log as this VM sees it
+   */
+  public SimulatedLogClient(
+      VirtualTime time, Random random, LogModel log, Supplier<LogFault> fault) {
     this.time = time;
     this.random = random;
     this.log = log;
