Refuse jobs that do not fit into a record of the log

What callers would see: one request with very long names or thousands of dependencies makes the log refuse the append of all requests stored with it (504 for each), the VM reports itself unready, and the caller sends the request to the next VM.

Cause: only the payload was limited; a body of 1 MB makes a record of more than the 262,144 bytes that the log accepts. And an append took up to 200 records whatever their size.

Change: names of labels, racks and images have at most 255 bytes and no control characters, a step depends on at most 100 steps, and an append of requests is full at 1 MB. The largest job now fits into a record.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/StepSpec.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/StepSpec.java
@@ -49,6 +49,9 @@
 
   private static final long MAX_AMOUNT = 1_000_000_000L;
 
+  /** Maximum length of a name in UTF-8 bytes, so that a job fits into one record of the log. */
+  private static final int MAX_NAME_BYTES = 255;
+
   /** Checks the ranges. */
   public StepSpec {
     Checks.range("step.count", count, 1, MAX_TASKS);
@@ -57,7 +60,17 @@
     Checks.range("step.need.accelerators", need.accelerators(), 0, MAX_AMOUNT);
     Checks.range("step.estimateMillis", estimateMillis, 0, MAX_AMOUNT);
     Checks.range("step.maxPerWorker", maxPerWorker, 0, (int) MAX_AMOUNT);
+    checkName("step.requiredLabel", requiredLabel);
+    checkName("step.dataRack", dataRack);
+    checkName("step.image", image);
     after = after == null ? List.of() : List.copyOf(after);
+    Checks.range("step.after.length", after.size(), 0, JobRequest.MAX_STEPS);
+  }
+
+  private static void checkName(String field, String name) {
+    if (name != null) {
+      Checks.printable(field, name, MAX_NAME_BYTES);
+    }
   }
 
   /**
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/RequestWriter.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/RequestWriter.java
@@ -25,9 +25,11 @@
   /** Time of continuous append failures after which requests are rejected at once. */
   private static final long REJECT_AFTER_MILLIS = 150;
 
-  /** Most records in one append; well below the log's limit for one call. */
   private static final int MAX_BATCH_RECORDS = 200;
 
+  /** Bytes of records after which an append is full; half of what the log accepts in a call. */
+  private static final int MAX_BATCH_BYTES = 1_000_000;
+
   /** A request that waits to be stored. */
   private static final class Pending {
     private final KeyedRecord record;
@@ -113,7 +115,7 @@
       return;
     }
     inFlight = true;
-    List<Pending> batch = List.copyOf(queue.subList(0, Math.min(MAX_BATCH_RECORDS, queue.size())));
+    List<Pending> batch = nextBatch();
     List<KeyedRecord> records = batch.stream().map(pending -> pending.record).toList();
     Replies.deliver(
         log.append(Topic.REQUESTS, records, -1, null),
@@ -125,6 +127,16 @@
         });
   }
 
+  private List<Pending> nextBatch() {
+    int count = 0;
+    int bytes = 0;
+    while (count < Math.min(MAX_BATCH_RECORDS, queue.size()) && bytes < MAX_BATCH_BYTES) {
+      bytes += queue.get(count).record.value().length;
+      count++;
+    }
+    return List.copyOf(queue.subList(0, count));
+  }
+
   private boolean expireIfDue(Pending pending, long now) {
     boolean rejecting = isRejecting();
     if (now < pending.deadlineMillis && !rejecting) {
--- a/org.peridotroute/src/org/peridotroute/errors/InvalidValueException.java
+++ b/org.peridotroute/src/org/peridotroute/errors/InvalidValueException.java
@@ -56,4 +56,14 @@
   public static InvalidValueException tooLong(String field, long bytes, long maxBytes) {
     return new InvalidValueException(Messages.TOO_LONG.formatted(field, bytes, maxBytes));
   }
+
+  /**
+   * Creates the exception for a text with control characters.
+   *
+   * @param field name of the field
+   * @return the exception
+   */
+  public static InvalidValueException unprintable(String field) {
+    return new InvalidValueException(Messages.UNPRINTABLE.formatted(field));
+  }
 }
--- a/org.peridotroute/src/org/peridotroute/errors/Messages.java
+++ b/org.peridotroute/src/org/peridotroute/errors/Messages.java
@@ -7,6 +7,8 @@
   static final String OUT_OF_RANGE = "%s is %d; allowed is %d to %d";
   static final String MISSING = "%s is missing";
   static final String TOO_LONG = "%s has %d bytes; allowed are %d";
+  static final String UNPRINTABLE = "%s contains a control character";
+
   static final String UNKNOWN_VERSION =
       "the record at offset %d of stream \"%s\" has version %d; this process supports up to %d";
   static final String UNREADABLE_RECORD =
--- a/org.peridotroute/src/org/peridotroute/lib/Checks.java
+++ b/org.peridotroute/src/org/peridotroute/lib/Checks.java
@@ -89,4 +89,20 @@
     }
     return value;
   }
+
+  /**
+   * Checks that a text is present, not larger than a limit in UTF-8, and without control
+   * characters.
+   *
+   * @param field the field
+   * @param value its value
+   * @param maxBytes largest allowed size in bytes
+   * @return the value
+   */
+  public static String printable(String field, String value, int maxBytes) {
+    if (maxBytes(field, value, maxBytes).chars().anyMatch(Character::isISOControl)) {
+      throw InvalidValueException.unprintable(field);
+    }
+    return value;
+  }
 }
