Share the random faults of the simulation tests

CrashingTaskTest had a smaller copy of SimulatedClusterTest's fault injection. It now meets all of its faults, restarts of workers and of all VMs among them.

--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/CrashingTaskTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/CrashingTaskTest.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -21,7 +20,6 @@
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.standin.world.SimulatedCluster;
-import org.peridotroute.standin.world.SimulatedCluster.LogFault;
 
 /**
  * Guards against starting a task that crashes its workers again and again, and against failing jobs
@@ -194,7 +192,7 @@
 
   // Crashes are missed or counted twice while planners, the log and the path to workers fail.
   @ParameterizedTest
-  @MethodSource("seeds")
+  @MethodSource("org.peridotroute.scheduler.RandomFaults#seeds")
   void keepsToTheLimitUnderRandomFaults(long seed) {
     SimulatedCluster cluster = newCluster(seed);
     Random random = new Random(seed);
@@ -206,47 +204,15 @@
       others.add(id);
       cluster.submit(id, job(step(1 + random.nextInt(6), 1 + random.nextInt(2))), 1);
       if (random.nextInt(3) == 0) {
-        injectFault(cluster, random);
+        RandomFaults.inject(cluster, random);
       }
       cluster.time().pass(random.nextInt(1_500));
     }
-    cluster.setLateCalls(0);
-    cluster.vmNames().forEach(vm -> cluster.setLogFault(vm, LogFault.NONE));
-    cluster.workerIds().forEach(worker -> cluster.cut(worker, false));
+    RandomFaults.endAll(cluster);
     cluster.time().pass(SETTLE_MILLIS);
     // A caller whose VM was killed gets no answer and does not retry.
     others.retainAll(cluster.accepted());
     assertGivenUp(cluster);
     assertPhase(cluster, others, JobPhase.COMPLETED);
   }
-
-  /** Returns the range FROM-TO of the system property, set for longer runs. */
-  static LongStream seeds() {
-    String[] range = System.getProperty("peridotroute.world.seeds", "1-30").split("-", 2);
-    return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1]));
-  }
-
-  private static void injectFault(SimulatedCluster cluster, Random random) {
-    List<String> vms = cluster.vmNames();
-    String vm = cluster.planner().orElse(vms.get(random.nextInt(vms.size())));
-    int millis = 200 + random.nextInt(3_000);
-    switch (random.nextInt(5)) {
-      case 0 -> cluster.kill(vm, millis);
-      case 1 -> cluster.pause(vm, millis);
-      case 2 -> {
-        cluster.setLogFault(vm, List.of(LogFault.values()).get(random.nextInt(4)));
-        cluster.time().after(millis, () -> cluster.setLogFault(vm, LogFault.NONE));
-      }
-      case 3 -> {
-        cluster.setLateCalls(0.1);
-        cluster.time().after(millis, () -> cluster.setLateCalls(0));
-      }
-      default -> {
-        List<WorkerId> workers = cluster.workerIds();
-        WorkerId worker = workers.get(random.nextInt(workers.size()));
-        cluster.cut(worker, true);
-        cluster.time().after(millis, () -> cluster.cut(worker, false));
-      }
-    }
-  }
 }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/SimulatedClusterTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/SimulatedClusterTest.java
@@ -9,7 +9,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobRequest;
@@ -17,7 +16,6 @@
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.standin.world.SimulatedCluster;
-import org.peridotroute.standin.world.SimulatedCluster.LogFault;
 
 /**
  * Runs several VMs against an in-memory log and workers, without faults and under random faults.
@@ -58,15 +56,9 @@
     return new JobRequest("payload", steps, Schedule.ONCE);
   }
 
-  /**
-   * Returns the past failures and the range FROM-TO of the system property, set for longer runs.
-   */
+  /** Returns the past failures and the seeds of this run. */
   static LongStream seeds() {
-    String[] range = System.getProperty("peridotroute.world.seeds", "1-30").split("-", 2);
-    return LongStream.concat(
-            LongStream.of(PAST_FAILURES),
-            LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1])))
-        .distinct();
+    return LongStream.concat(LongStream.of(PAST_FAILURES), RandomFaults.seeds()).distinct();
   }
 
   @Test
@@ -97,13 +89,11 @@
         cluster.cancel(id(random.nextInt(i + 1)));
       }
       if (random.nextInt(3) == 0) {
-        injectFault(cluster, random);
+        RandomFaults.inject(cluster, random);
       }
       cluster.time().pass(random.nextInt(900));
     }
-    cluster.setLateCalls(0);
-    cluster.vmNames().forEach(name -> cluster.setLogFault(name, LogFault.NONE));
-    cluster.workerIds().forEach(worker -> cluster.cut(worker, false));
+    RandomFaults.endAll(cluster);
     cluster.time().pass(SETTLE_MILLIS);
     assertThat(cluster.oracle().violations()).isEmpty();
     assertThat(cluster.unfinished()).isEmpty();
@@ -115,40 +105,4 @@
         ? (level, name, fields) -> System.out.println(name + " " + Arrays.asList(fields))
         : Events.NONE;
   }
-
-  private static void injectFault(SimulatedCluster cluster, Random random) {
-    List<String> vms = cluster.vmNames();
-    String vm =
-        random.nextBoolean()
-            ? cluster.planner().orElse(vms.get(0))
-            : vms.get(random.nextInt(vms.size()));
-    List<WorkerId> workers = cluster.workerIds();
-    WorkerId worker = workers.get(random.nextInt(workers.size()));
-    int millis = 200 + random.nextInt(6_000);
-    switch (random.nextInt(8)) {
-      case 0 -> cluster.kill(vm, millis);
-      case 1 -> cluster.pause(vm, millis);
-      case 2 -> {
-        cluster.setLogFault(vm, List.of(LogFault.values()).get(random.nextInt(4)));
-        cluster.time().after(millis, () -> cluster.setLogFault(vm, LogFault.NONE));
-      }
-      case 3 -> {
-        LogFault fault = List.of(LogFault.values()).get(random.nextInt(4));
-        vms.forEach(name -> cluster.setLogFault(name, fault));
-        cluster
-            .time()
-            .after(millis, () -> vms.forEach(name -> cluster.setLogFault(name, LogFault.NONE)));
-      }
-      case 4 -> cluster.restartWorker(worker);
-      case 5 -> {
-        cluster.cut(worker, true);
-        cluster.time().after(millis, () -> cluster.cut(worker, false));
-      }
-      case 6 -> {
-        cluster.setLateCalls(0.2);
-        cluster.time().after(millis, () -> cluster.setLateCalls(0));
-      }
-      default -> vms.forEach(name -> cluster.kill(name, 100 + random.nextInt(2_000)));
-    }
-  }
 }
