Let gangs wait for a worker that a suspect has to itself

Found while reading the change: a worker on which a suspect task runs alone did not count as part of its rack, so that a gang that needs the whole rack was placed across racks, where it runs three times as long, because of a wait of half a second. What callers would see: late gangs after any crash of a worker. Also, suspects ignored the reserve for urgent work, and were placed in an order that differs from process to process.

SuspectPlacementTest.aGangWaitsForTheWorkerOfASuspectInItsRack failed before (started on w-1 to w-4) and passes.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
@@ -88,12 +88,13 @@
     }
 
     /**
-     * Returns how many tasks of a step this worker would hold if it were empty.
+     * Returns how many tasks of a step this worker would hold if it were empty and no job had it to
+     * itself.
      *
      * @param limit upper bound of the result
      */
     int countFittingWhenEmpty(PlanView.PendingStep pending, int limit) {
-      return limitCount(pending, worker.capacity().maxCount(pending.spec().reserved()), limit);
+      return limitPerWorker(pending, worker.capacity().maxCount(pending.spec().reserved()), limit);
     }
 
     /** Returns the number of tasks of other jobs on this worker. */
@@ -113,10 +114,12 @@
       return isolatedFor != null && !isolatedFor.equals(job);
     }
 
+    /** Limits a number of tasks that fit to what this worker may take of the step. */
     int limitCount(PlanView.PendingStep pending, int fitting, int limit) {
-      if (isIsolatedFrom(pending.step().job())) {
-        return 0;
-      }
+      return isIsolatedFrom(pending.step().job()) ? 0 : limitPerWorker(pending, fitting, limit);
+    }
+
+    private int limitPerWorker(PlanView.PendingStep pending, int fitting, int limit) {
       int maxPerWorker = pending.spec().maxPerWorker();
       int leftOnWorker =
           maxPerWorker == 0
@@ -224,8 +227,7 @@
       String label = pending.spec().requiredLabel();
       if (entry.worker.service().equals(pending.service())
           && (label == null || entry.worker.labels().contains(label))
-          && !pending.excludedWorkers().contains(entry.worker.id())
-          && !entry.isIsolatedFrom(pending.step().job())) {
+          && !pending.excludedWorkers().contains(entry.worker.id())) {
         found.add(entry);
       }
     }
@@ -239,6 +241,7 @@
       return;
     }
     candidates.stream()
+        .filter(entry -> !entry.isIsolatedFrom(job))
         .filter(entry -> entry.countFittingWhenEmpty(pending, 1) > 0)
         .min(
             Comparator.comparingInt((Entry entry) -> entry.countTasksOfOthers(job))
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -174,7 +174,7 @@
       List<CapacityLedger.Entry> unshared = unshared(pending, candidates);
       List<CapacityLedger.Entry> best =
           bestFit(pending, fullSpeedGroups(pending, unshared, members), members);
-      if (best != null) {
+      if (best != null && preservesUrgentReserve(pending, members)) {
         Map<Integer, WorkerId> assignment = allocate(pending, best, members);
         assignment.values().forEach(id -> ledger.entry(id).isolateFor(pending.step().job()));
         addStart(pending, assignment);
@@ -538,7 +538,13 @@
         List<CapacityLedger.Entry> candidates,
         Map<Integer, WorkerId> assignment) {
       List<Integer> postponed = new ArrayList<>();
-      for (int task : pending.suspects().tasks()) {
+      for (int task : pending.tasks()) {
+        if (!pending.suspects().tasks().contains(task)) {
+          continue;
+        }
+        if (!preservesUrgentReserve(pending, 1)) {
+          break;
+        }
         CapacityLedger.Entry entry = bestEntry(pending, unshared(pending, candidates));
         if (entry != null) {
           entry.allocate(pending);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/CrashHistory.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/CrashHistory.java
@@ -24,6 +24,9 @@
   /** No crash. */
   public static final CrashHistory NONE = new CrashHistory(0, 0, 0);
 
+  /** Age below which a run may be what crashed its worker, whatever else failed with it. */
+  public static final long YOUNG_RUN_MILLIS = 1_000;
+
   /** Crashes after which a task is given up if enough of them are conclusive. */
   private static final int MAX_CRASHES = 3;
 
@@ -32,9 +35,6 @@
   /** Crashes after which a task is given up whatever the circumstances. */
   private static final int MAX_INCONCLUSIVE_CRASHES = 5;
 
-  /** Age below which a run may be what crashed its worker, whatever else failed with it. */
-  public static final long YOUNG_RUN_MILLIS = 1_000;
-
   /** Time by which a run must outlive the earlier ones before its worker takes other work. */
   private static final long PROBATION_MARGIN_MILLIS = 500;
 
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/SuspectPlacementTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/SuspectPlacementTest.java
@@ -110,4 +110,13 @@
         .containsExactly(
             new PlacementDecision.Start(stepId(SUSPECT_JOB), Map.of(0, vacant, 1, vacant)));
   }
+
+  // A gang runs slowly across racks because one worker of its rack is taken for half a second.
+  @Test
+  void aGangWaitsForTheWorkerOfASuspectInItsRack() {
+    List<WorkerView> workers =
+        List.of(
+            shared(0, true), worker(1, 8, 0), worker(2, 8, 0), worker(3, 8, 0), worker(4, 8, 0));
+    assertThat(decide(workers, List.of(pending(OTHER_JOB, 1, 4, 8, true, false)))).isEmpty();
+  }
 }
