Switch optional policies on by settings and contracts

New policies must act only where a deployment asks for them. EdgeSettings gets the optional fields features, contracts, closureMillis, coldFactor, restoreMillis, logPartitions and regions; platform/ translates the names of contracts to features. Nothing reads the features yet.

EdgeSettingsTest: 9 tests pass.

--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/EdgeCommand.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/EdgeCommand.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import org.peridotroute.adapter.CallerRequestHandler;
+import org.peridotroute.adapter.ContractFeatures;
 import org.peridotroute.adapter.HttpKeyedLog;
 import org.peridotroute.adapter.HttpWorkerClient;
 import org.peridotroute.adapter.StoreRecordDecoder;
@@ -48,8 +49,8 @@
                 (client, edgeSettings) ->
                     new HttpWorkerClient(client, EdgeSettings.CALL_TIMEOUT_MILLIS),
                 new StoreRecordDecoder(),
-                (scheduler, eventLog) ->
-                    new CallerRequestHandler(scheduler, Time.SYSTEM, eventLog)),
+                (scheduler, eventLog) -> new CallerRequestHandler(scheduler, Time.SYSTEM, eventLog),
+                ContractFeatures::of),
             events);
     server.start();
     Signals.handle("HUP", () -> reload(path, settings, events, server));
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
@@ -1,5 +1,7 @@
 package org.peridotroute.scheduler.dispatch;
 
+import org.peridotroute.scheduler.model.PolicySettings;
+
 /**
  * Timing settings of a planner. All times are in milliseconds.
  *
@@ -15,6 +17,7 @@
  * @param farFactor factor by which a task takes longer away from its data or its gang's rack
  * @param heartbeatMillis time between two heartbeats of a worker
  * @param linkBytesPerSecond capacity of this VM's network link
+ * @param policy optional policies
  */
 public record DispatchSettings(
     long leaseMillis,
@@ -26,7 +29,8 @@
     long stopMillis,
     double farFactor,
     long heartbeatMillis,
-    long linkBytesPerSecond) {
+    long linkBytesPerSecond,
+    PolicySettings policy) {
   /**
    * Factor by which a worker's clock may run slow: the bound given by the worker interface plus a
    * margin.
@@ -50,6 +54,32 @@
 
   private static final long MILLIS_PER_SECOND = 1_000;
 
+  /** Creates settings without optional policies. */
+  public DispatchSettings(
+      long leaseMillis,
+      long pollWaitMillis,
+      long callTimeoutMillis,
+      long renewMillis,
+      long maxUnconfirmedMillis,
+      long reclaimMillis,
+      long stopMillis,
+      double farFactor,
+      long heartbeatMillis,
+      long linkBytesPerSecond) {
+    this(
+        leaseMillis,
+        pollWaitMillis,
+        callTimeoutMillis,
+        renewMillis,
+        maxUnconfirmedMillis,
+        reclaimMillis,
+        stopMillis,
+        farFactor,
+        heartbeatMillis,
+        linkBytesPerSecond,
+        PolicySettings.NONE);
+  }
+
   /** Returns the bytes of starts that may be under way at once. */
   public long maxStartBytesInFlight() {
     return linkBytesPerSecond * MAX_START_LINK_MILLIS / MILLIS_PER_SECOND;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanSettings.java
@@ -1,13 +1,17 @@
 package org.peridotroute.scheduler.plan;
 
+import org.peridotroute.scheduler.model.PolicySettings;
+
 /**
  * Settings of placement decisions.
  *
  * @param farFactor factor by which a task takes longer away from its data or its gang's rack
  * @param reclaimMillis time within which guaranteed capacity must be in use by its owner again
  * @param stopMillis longest time that stopping a task takes
+ * @param policy optional policies
  */
-public record PlanSettings(double farFactor, long reclaimMillis, long stopMillis) {
+public record PlanSettings(
+    double farFactor, long reclaimMillis, long stopMillis, PolicySettings policy) {
   /**
    * Time reserved between a decision and the start for the log and the calls; covers two slow log
    * replies.
@@ -28,6 +32,11 @@
    */
   private static final long MAX_RACK_WAIT_WHILE_IDLE_MILLIS = 1_500;
 
+  /** Creates settings without optional policies. */
+  public PlanSettings(double farFactor, long reclaimMillis, long stopMillis) {
+    this(farFactor, reclaimMillis, stopMillis, PolicySettings.NONE);
+  }
+
   /** Returns the longest wait of a gang for a rack while most accelerators are idle. */
   public long maxRackWaitWhileIdleMillis() {
     return MAX_RACK_WAIT_WHILE_IDLE_MILLIS;
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeServer.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeServer.java
@@ -1,16 +1,21 @@
 package org.peridotroute.server.edge;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 import org.peridotroute.http.AsyncHandler;
 import org.peridotroute.http.HttpBytesReply;
 import org.peridotroute.http.HttpClient;
 import org.peridotroute.http.HttpServer;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
+import org.peridotroute.scheduler.model.Feature;
+import org.peridotroute.scheduler.model.PolicySettings;
 import org.peridotroute.scheduler.node.SchedulerVm;
 import org.peridotroute.scheduler.plan.GangFirstPlacer;
 import org.peridotroute.scheduler.plan.PlanSettings;
@@ -56,12 +61,14 @@
    * @param gateway creates the client of the workers
    * @param decoder decodes the configuration and worker records
    * @param callerHandler creates the handler of callers' requests
+   * @param contractFeatures returns the features that the platform's contracts call for
    */
   public record Adapters(
       BiFunction<HttpClient, EdgeSettings, KeyedLog> log,
       BiFunction<HttpClient, EdgeSettings, WorkerGateway> gateway,
       SchedulerVm.Decoder decoder,
-      BiFunction<SchedulerVm, EventLog, AsyncHandler> callerHandler) {}
+      BiFunction<SchedulerVm, EventLog, AsyncHandler> callerHandler,
+      Function<List<String>, Set<Feature>> contractFeatures) {}
 
   /**
    * Creates the process.
@@ -76,6 +83,8 @@
     control = new EventRing<>("control", RING_SLOTS, TICK_MILLIS, this, this::onBrokenInvariant);
     Executor onControl = control::put;
     String incarnation = Long.toHexString(System.currentTimeMillis() ^ System.nanoTime());
+    PolicySettings policy =
+        settings.toPolicySettings(adapters.contractFeatures().apply(settings.contracts()));
     Dispatcher.Ports ports =
         new Dispatcher.Ports(
             adapters.log().apply(httpClient, settings),
@@ -85,9 +94,13 @@
             events,
             new GangFirstPlacer(
                 new PlanSettings(
-                    settings.farFactor(), settings.reclaimMillis(), settings.stopMillis())));
+                    settings.farFactor(),
+                    settings.reclaimMillis(),
+                    settings.stopMillis(),
+                    policy)));
     schedulerVm =
-        new SchedulerVm(settings.toSchedulerVmSettings(incarnation), ports, adapters.decoder());
+        new SchedulerVm(
+            settings.toSchedulerVmSettings(incarnation, policy), ports, adapters.decoder());
     callerService =
         newService(settings.callers(), adapters.callerHandler().apply(schedulerVm, events));
     readinessService = newService(settings.readiness(), this::handleProbe);
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
@@ -1,5 +1,7 @@
 package org.peridotroute.server.edge;
 
+import static java.util.stream.Collectors.joining;
+
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -7,8 +9,14 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.peridotroute.scheduler.dispatch.DispatchSettings;
+import org.peridotroute.scheduler.model.Feature;
+import org.peridotroute.scheduler.model.PolicySettings;
 import org.peridotroute.scheduler.node.SchedulerVmSettings;
 import org.peridotroute.server.settings.SettingsException;
 import org.peridotroute.server.settings.SettingsFault;
@@ -32,6 +40,15 @@
  * @param processorShare fraction of a processor's time that this VM gets
  * @param processorSpeed speed of that processor relative to the usual one
  * @param linkMegabits capacity of this VM's network link, in megabits per second; 100 if absent
+ * @param features names of the optional features that are switched on
+ * @param contracts names of the platform's contracts in force, which also switch on features
+ * @param closureMillis time after which a closed data centre must get no more starts, in
+ *     milliseconds; 0 if data centres are never closed
+ * @param coldFactor factor by which tasks take longer on a worker that has just started; 1 if
+ *     absent
+ * @param restoreMillis time that a task takes to resume from its checkpoint, in milliseconds
+ * @param logPartitions number of partitions of a topic of the store; 1 if absent
+ * @param regions region of each data centre
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record EdgeSettings(
@@ -48,7 +65,14 @@
     double graceSeconds,
     double processorShare,
     double processorSpeed,
-    double linkMegabits) {
+    double linkMegabits,
+    List<String> features,
+    List<String> contracts,
+    long closureMillis,
+    double coldFactor,
+    long restoreMillis,
+    int logPartitions,
+    Map<String, String> regions) {
   /**
    * Time for which a worker may hold a poll. The loss of a worker's connection is detected that
    * much later.
@@ -122,9 +146,14 @@
           .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
           .build();
 
-  /** Sets the default of the link's capacity. */
+  /** Sets the defaults of absent fields. */
   public EdgeSettings {
     linkMegabits = linkMegabits == 0 ? DEFAULT_LINK_MEGABITS : linkMegabits;
+    features = features == null ? List.of() : List.copyOf(features);
+    contracts = contracts == null ? List.of() : List.copyOf(contracts);
+    coldFactor = coldFactor == 0 ? 1 : coldFactor;
+    logPartitions = logPartitions == 0 ? 1 : logPartitions;
+    regions = regions == null ? Map.of() : Map.copyOf(regions);
   }
 
   /**
@@ -157,6 +186,30 @@
     requirePositive(file, "processorShare", processorShare);
     requirePositive(file, "processorSpeed", processorSpeed);
     requirePositive(file, "linkMegabits", linkMegabits);
+    requirePositive(file, "coldFactor", coldFactor);
+    requirePositive(file, "logPartitions", logPartitions);
+    requireNotNegative(file, "closureMillis", closureMillis);
+    requireNotNegative(file, "restoreMillis", restoreMillis);
+    requireKnownFeatures(file);
+  }
+
+  private void requireKnownFeatures(String file) throws SettingsException {
+    for (String name : features) {
+      if (Feature.find(name).isEmpty()) {
+        String known =
+            Arrays.stream(Feature.values()).map(Feature::settingName).collect(joining(", "));
+        throw new SettingsException(
+            List.of(new SettingsFault(file, "features", name, "one of " + known)));
+      }
+    }
+  }
+
+  private static void requireNotNegative(String file, String field, long value)
+      throws SettingsException {
+    if (value < 0) {
+      throw new SettingsException(
+          List.of(new SettingsFault(file, field, Long.toString(value), "0 or more")));
+    }
   }
 
   private static void requireText(String file, String field, String value)
@@ -184,9 +237,10 @@
    * Returns the scheduler's settings: the values of the file and the fixed times of this class.
    *
    * @param incarnation unique name of this run of the process
+   * @param policy optional policies
    * @return the scheduler's settings
    */
-  public SchedulerVmSettings toSchedulerVmSettings(String incarnation) {
+  public SchedulerVmSettings toSchedulerVmSettings(String incarnation, PolicySettings policy) {
     DispatchSettings dispatch =
         new DispatchSettings(
             leaseMillis,
@@ -198,7 +252,8 @@
             stopMillis,
             farFactor,
             heartbeatMillis,
-            Math.round(linkMegabits * BYTES_PER_MEGABIT));
+            Math.round(linkMegabits * BYTES_PER_MEGABIT),
+            policy);
     return SchedulerVmSettings.newBuilder()
         .setVm(vm)
         .setIncarnation(incarnation)
@@ -214,6 +269,19 @@
         .build();
   }
 
+  /**
+   * Returns the optional policies.
+   *
+   * @param contractFeatures features that the contracts in force call for
+   * @return the policies
+   */
+  public PolicySettings toPolicySettings(Set<Feature> contractFeatures) {
+    Set<Feature> enabled = new HashSet<>(contractFeatures);
+    features.forEach(name -> Feature.find(name).ifPresent(enabled::add));
+    return new PolicySettings(
+        enabled, closureMillis, coldFactor, restoreMillis, logPartitions, regions);
+  }
+
   private long claimDelayMillis() {
     double cores = processorShare * processorSpeed;
     double adequacy =
--- a/org.peridotroute.test/tst/org/peridotroute/server/edge/EdgeSettingsTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/server/edge/EdgeSettingsTest.java
@@ -6,8 +6,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.peridotroute.scheduler.model.Feature;
+import org.peridotroute.scheduler.model.PolicySettings;
 import org.peridotroute.server.settings.SettingsException;
 
 /** Tests the validation of an entry VM's settings and the values derived from them. */
@@ -47,23 +50,35 @@
   @Test
   void delaysPlannerClaimOnVmsWithLittleProcessorTime() throws Exception {
     EdgeSettings fastVm = read(COMPLETE.replace("0.36", "0.75"));
-    assertThat(fastVm.toSchedulerVmSettings("run-1").claimDelayMillis()).isEqualTo(0);
-    assertThat(read(COMPLETE).toSchedulerVmSettings("run-1").claimDelayMillis()).isGreaterThan(100);
+    assertThat(fastVm.toSchedulerVmSettings("run-1", PolicySettings.NONE).claimDelayMillis())
+        .isEqualTo(0);
+    assertThat(
+            read(COMPLETE).toSchedulerVmSettings("run-1", PolicySettings.NONE).claimDelayMillis())
+        .isGreaterThan(100);
   }
 
   @Test
   void delaysPlannerClaimOnVmsWithASlowLink() throws Exception {
     String fastVm = COMPLETE.replace("0.36", "0.75");
     EdgeSettings slowLink = read(fastVm.replace("\"unknown\": true", "\"linkMegabits\": 2"));
-    assertThat(slowLink.toSchedulerVmSettings("run-1").claimDelayMillis()).isGreaterThan(100);
+    assertThat(slowLink.toSchedulerVmSettings("run-1", PolicySettings.NONE).claimDelayMillis())
+        .isGreaterThan(100);
   }
 
   @Test
   void startsUnderWayFollowTheLink() throws Exception {
     EdgeSettings slowLink = read(COMPLETE.replace("\"unknown\": true", "\"linkMegabits\": 2"));
-    assertThat(slowLink.toSchedulerVmSettings("run-1").dispatch().linkBytesPerSecond())
+    assertThat(
+            slowLink
+                .toSchedulerVmSettings("run-1", PolicySettings.NONE)
+                .dispatch()
+                .linkBytesPerSecond())
         .isEqualTo(250_000);
-    assertThat(read(COMPLETE).toSchedulerVmSettings("run-1").dispatch().linkBytesPerSecond())
+    assertThat(
+            read(COMPLETE)
+                .toSchedulerVmSettings("run-1", PolicySettings.NONE)
+                .dispatch()
+                .linkBytesPerSecond())
         .isEqualTo(12_500_000);
   }
 
@@ -75,4 +90,26 @@
             () -> read(COMPLETE.replace("\"unknown\": true", "\"linkMegabits\": -1")));
     assertThat(thrown).hasMessageThat().contains("linkMegabits");
   }
+
+  @Test
+  void switchesNothingOnUnlessAsked() throws Exception {
+    assertThat(read(COMPLETE).toPolicySettings(Set.of())).isEqualTo(PolicySettings.NONE);
+  }
+
+  @Test
+  void joinsFeaturesOfTheFileAndOfTheContracts() throws Exception {
+    EdgeSettings settings =
+        read(COMPLETE.replace("\"unknown\": true", "\"features\": [\"caller-cost\"]"));
+    assertThat(settings.toPolicySettings(Set.of(Feature.WORKER_CONDUCT)).features())
+        .containsExactly(Feature.CALLER_COST, Feature.WORKER_CONDUCT);
+  }
+
+  @Test
+  void rejectsAnUnknownFeature() {
+    SettingsException thrown =
+        assertThrows(
+            SettingsException.class,
+            () -> read(COMPLETE.replace("\"unknown\": true", "\"features\": [\"callercost\"]")));
+    assertThat(thrown).hasMessageThat().contains("features");
+  }
 }
