Start nothing in data centres that are closed for new work

OperatorRecords follows it beside the configuration, WorkerState.isUsable and RunCalls check it when a start is sent, and ClosureBound withholds all starts when the records have been read too long ago. Allowed regions of queues and organisations are kept with the terms of a job. Both act only where a record or a field asks for it.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchEvents.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchEvents.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.peridotroute.scheduler.model.TaskId;
+import org.peridotroute.scheduler.place.Closures;
 import org.peridotroute.scheduler.plan.PlacementDecision;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.Time;
@@ -132,4 +133,16 @@
         "crashes",
         last == null ? 0 : last.crashHistory().crashes());
   }
+
+  /** Logs that starts are withheld because the known closures are too old, or sent again. */
+  void onStartsWithheld(boolean withheld, Closures closures) {
+    events.warn(
+        withheld ? "starts-withheld" : "starts-resumed",
+        "epoch",
+        term.epoch(),
+        "reason",
+        "age of the known closures",
+        "closed",
+        closures.dataCentres());
+  }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -17,6 +17,8 @@
 import org.peridotroute.scheduler.model.StepId;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.model.WorkerInfo;
+import org.peridotroute.scheduler.place.ClosureBound;
+import org.peridotroute.scheduler.place.Closures;
 import org.peridotroute.scheduler.plan.CapacityClaim;
 import org.peridotroute.scheduler.plan.PlacementDecision;
 import org.peridotroute.scheduler.plan.Placer;
@@ -82,6 +84,9 @@
   private final Map<StepId, CapacityClaim> claims = new HashMap<>();
   private final BiConsumer<JobId, JobPhase> onPhaseStored;
   private final Consumer<String> onSuperseded;
+  private final ClosureBound closureBound;
+  private Closures closures = Closures.UNKNOWN;
+  private boolean startsWithheld;
   private Configuration configuration;
   private boolean passNeeded = true;
   private boolean openJobsLeft;
@@ -130,11 +135,13 @@
     time = ports.time();
     dispatchEvents = new DispatchEvents(ports.events(), time, term, durationEstimator);
     placer = ports.placer();
+    closureBound = new ClosureBound(settings.policy().closureMillis());
     viewBuilder =
         new PlanViewBuilder(
             durationEstimator,
             rackSpeeds,
-            settings.stopMillis() + PlanSettings.START_MARGIN_MILLIS);
+            settings.stopMillis() + PlanSettings.START_MARGIN_MILLIS,
+            settings.policy());
     journal =
         new Journal(
             ports.log(),
@@ -257,6 +264,24 @@
     passNeeded = true;
   }
 
+  /**
+   * Sets the data centres that are closed for new work.
+   *
+   * @param latest the closed data centres and the time as of which they are known
+   */
+  public void setClosures(Closures latest) {
+    if (!latest.dataCentres().equals(closures.dataCentres())) {
+      workerManager.setClosures(latest);
+      passNeeded = true;
+    }
+    closures = latest;
+    boolean withheld = !closureBound.permitsStarts(closures, time.steadyMillis());
+    if (withheld != startsWithheld) {
+      startsWithheld = withheld;
+      dispatchEvents.onStartsWithheld(withheld, closures);
+    }
+  }
+
   /** Polls workers, runs a pass if one is due and appends changed progress. Called periodically. */
   public void tick() {
     if (closed) {
@@ -525,7 +550,8 @@
   public boolean mayStart() {
     long now = time.steadyMillis();
     return now - journal.confirmedMillis() <= settings.maxProofAgeMillis()
-        && workersCurrentAsOfMillis >= now - MAX_WORKER_LIST_AGE_MILLIS;
+        && workersCurrentAsOfMillis >= now - MAX_WORKER_LIST_AGE_MILLIS
+        && closureBound.permitsStarts(closures, now);
   }
 
   @Override
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -11,8 +11,10 @@
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.JobId;
+import org.peridotroute.scheduler.model.PolicySettings;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
+import org.peridotroute.scheduler.place.AllowedRegions;
 import org.peridotroute.scheduler.plan.CapacityClaim;
 import org.peridotroute.scheduler.plan.PlanView;
 import org.peridotroute.scheduler.table.Job;
@@ -30,6 +32,7 @@
   private final DurationEstimator durationEstimator;
   private final RackSpeeds rackSpeeds;
   private final long maxStopMillis;
+  private final PolicySettings policy;
   private final UrgentDemand urgentDemand = new UrgentDemand();
   private final SuspectWaits suspectWaits = new SuspectWaits();
 
@@ -37,8 +40,14 @@
    * Creates a builder.
    *
    * @param maxStopMillis time within which a run should have ended after its stop was requested
+   * @param policy optional policies
    */
-  PlanViewBuilder(DurationEstimator durationEstimator, RackSpeeds rackSpeeds, long maxStopMillis) {
+  PlanViewBuilder(
+      DurationEstimator durationEstimator,
+      RackSpeeds rackSpeeds,
+      long maxStopMillis,
+      PolicySettings policy) {
+    this.policy = policy;
     this.maxStopMillis = maxStopMillis;
     this.durationEstimator = durationEstimator;
     this.rackSpeeds = rackSpeeds;
@@ -56,7 +65,7 @@
     List<PlanView.PendingStep> pendingSteps = new ArrayList<>();
     for (Job job : jobs) {
       if (!job.phase().isEnded()) {
-        addPendingSteps(pendingSteps, job, guaranteed, nowMillis, wallMillis);
+        addPendingSteps(pendingSteps, job, guaranteed, workerStates, nowMillis, wallMillis);
       }
     }
     suspectWaits.endPass();
@@ -104,6 +113,7 @@
       List<PlanView.PendingStep> pendingSteps,
       Job job,
       Set<JobId> guaranteed,
+      Collection<WorkerState> workerStates,
       long nowMillis,
       long wallMillis) {
     Submission submission = job.submission();
@@ -118,7 +128,7 @@
         if (tasks.isEmpty() || !complete || !occurrence.isReady(step)) {
           continue;
         }
-        Set<WorkerId> excludedWorkers = new HashSet<>();
+        Set<WorkerId> excludedWorkers = workersOutside(submission, workerStates);
         step.tasks().forEach(task -> excludedWorkers.addAll(task.failedOn()));
         pendingSteps.add(
             new PlanView.PendingStep(
@@ -139,6 +149,26 @@
     }
   }
 
+  /** Returns the workers outside the regions in which a job may run. */
+  private Set<WorkerId> workersOutside(
+      Submission submission, Collection<WorkerState> workerStates) {
+    Set<WorkerId> outside = new HashSet<>();
+    List<String> allowed = submission.terms().allowedRegions();
+    if (allowed.isEmpty()) {
+      return outside;
+    }
+    for (WorkerState worker : workerStates) {
+      boolean permitted =
+          worker.hasInfo()
+              && AllowedRegions.permit(
+                  allowed, worker.info().dataCentre(), policy.regionsByDataCentre());
+      if (!permitted) {
+        outside.add(worker.id());
+      }
+    }
+    return outside;
+  }
+
   private static List<Integer> waitingTasks(StepProgress step) {
     List<Integer> tasks = new ArrayList<>();
     for (int i = 0; i < step.tasks().size(); i++) {
@@ -203,7 +233,8 @@
         preemptibleAccelerators(workerState, jobsById),
         workerState.consecutiveFailures(),
         workerState.isolatedFor(nowMillis),
-        rackSpeeds.slowdown(workerState.info().rack()));
+        rackSpeeds.slowdown(workerState.info().rack())
+            * (workerState.info().coldMillis() > 0 ? policy.coldFactor() : 1));
   }
 
   private void addRunningTasks(
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunCalls.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunCalls.java
@@ -168,6 +168,7 @@
               && !attempt.isSuspect()
               && !attempt.isStopRequested()
               && worker.hasSeenToken()
+              && !worker.isInClosedDataCentre()
               && listener.mayStart();
       if (mayRepeat) {
         // Harmless if the first call has taken effect or does so later.
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executor;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.WorkerInfo;
+import org.peridotroute.scheduler.place.Closures;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.Replies;
 import org.peridotroute.scheduler.port.Time;
@@ -77,6 +78,7 @@
   private final RunCalls runCalls;
   private final WorkerSilences silences = new WorkerSilences();
   private final long inheritedLeasesExpireMillis;
+  private Closures closures = Closures.UNKNOWN;
   private long lastSequence;
   private boolean closed;
 
@@ -143,6 +145,7 @@
           "worker-draining", "worker", info.id(), "remainingMillis", info.remainingMillis());
     }
     worker.markListed(info);
+    worker.setInClosedDataCentre(closures.isClosed(info.dataCentre()));
     probeOthersAt(worker);
   }
 
@@ -160,6 +163,15 @@
     }
   }
 
+  /** Sets the data centres that are closed for new work. */
+  void setClosures(Closures latest) {
+    closures = latest;
+    for (WorkerState worker : workers.values()) {
+      boolean closed = worker.hasInfo() && closures.isClosed(worker.info().dataCentre());
+      worker.setInClosedDataCentre(closed);
+    }
+  }
+
   /** Handles the removal of a worker from the list. */
   void onUnlisted(WorkerId id) {
     WorkerState worker = workers.get(id);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -41,6 +41,7 @@
   private long nextPollMillis;
   private long quarantinedUntilMillis;
   private int consecutiveFailures;
+  private boolean inClosedDataCentre;
 
   WorkerState(WorkerId id, long leasesExpireMillis) {
     this.id = id;
@@ -87,12 +88,23 @@
   /** Returns whether the worker may get new work. */
   boolean isUsable(long nowMillis) {
     return listed
+        && !inClosedDataCentre
         && tokenSeen
         && !info.draining()
         && unansweredCalls == 0
         && nowMillis >= quarantinedUntilMillis;
   }
 
+  /** Sets whether the data centre of the worker is closed for new work. */
+  void setInClosedDataCentre(boolean closed) {
+    inClosedDataCentre = closed;
+  }
+
+  /** Returns whether the data centre of the worker is closed for new work. */
+  boolean isInClosedDataCentre() {
+    return inClosedDataCentre;
+  }
+
   /** Returns whether the worker has seen the fencing token of this term. */
   boolean hasSeenToken() {
     return tokenSeen;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Queue.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Queue.java
@@ -1,5 +1,7 @@
 package org.peridotroute.scheduler.model;
 
+import java.util.List;
+
 /**
  * A queue, as declared in the configuration.
  *
@@ -12,6 +14,7 @@
  * @param stretch factor of a job's own run time within which it should complete
  * @param objectiveMillis time allowed on top of that, in milliseconds
  * @param open whether callers are admitted without an API key
+ * @param allowedRegions regions in which its tasks may run, empty for all
  */
 public record Queue(
     String name,
@@ -22,4 +25,10 @@
     int maxAttempts,
     double stretch,
     long objectiveMillis,
-    boolean open) {}
+    boolean open,
+    List<String> allowedRegions) {
+  /** Copies the list. */
+  public Queue {
+    allowedRegions = List.copyOf(allowedRegions);
+  }
+}
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Submission.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Submission.java
@@ -1,5 +1,7 @@
 package org.peridotroute.scheduler.model;
 
+import java.util.List;
+
 /**
  * An accepted job. It keeps the terms that its queue had at the time of acceptance, so that a later
  * configuration does not change what the caller was promised.
@@ -29,6 +31,23 @@
    * @param maxAttempts number of failed runs of a task after which the job fails
    * @param stretch factor of the job's own run time within which it should complete
    * @param objectiveMillis time allowed on top of that, in milliseconds
+   * @param allowedRegions regions in which the tasks may run, empty for all; absent in records of
+   *     earlier versions
    */
-  public record Terms(int priority, int maxAttempts, double stretch, long objectiveMillis) {}
+  public record Terms(
+      int priority,
+      int maxAttempts,
+      double stretch,
+      long objectiveMillis,
+      List<String> allowedRegions) {
+    /** Copies the list. */
+    public Terms {
+      allowedRegions = allowedRegions == null ? List.of() : List.copyOf(allowedRegions);
+    }
+
+    /** Creates terms that allow all regions. */
+    public Terms(int priority, int maxAttempts, double stretch, long objectiveMillis) {
+      this(priority, maxAttempts, stretch, objectiveMillis, List.of());
+    }
+  }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
@@ -16,6 +16,7 @@
  * @param draining whether the worker is leaving
  * @param remainingMillis minimum time until a draining worker leaves, in milliseconds
  * @param startedAtMillis start of this incarnation on the worker's wall clock; 0 if not given
+ * @param coldMillis how much longer the worker stays slow after its start, in milliseconds
  */
 public record WorkerInfo(
     WorkerId id,
@@ -27,7 +28,8 @@
     Capacity capacity,
     boolean draining,
     long remainingMillis,
-    long startedAtMillis) {
+    long startedAtMillis,
+    long coldMillis) {
   /** Makes an immutable copy of the labels. */
   public WorkerInfo {
     labels = List.copyOf(labels);
@@ -50,6 +52,7 @@
         other,
         draining,
         remainingMillis,
-        startedAtMillis);
+        startedAtMillis,
+        coldMillis);
   }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -30,7 +30,6 @@
  * and after each batch of replies. Only methods documented as such may be called by any thread.
  */
 public final class SchedulerVm {
-  private static final String CONFIGURATION_KEY = "config";
   private static final long NEVER = Long.MIN_VALUE;
 
   /** Decodes the records that operators and workers write to the log. */
@@ -43,6 +42,14 @@
      */
     Optional<Configuration> decodeConfiguration(byte[] value);
 
+    /**
+     * Returns the data centre that a record of operators closes for new work while it exists.
+     *
+     * @param key key of the record
+     * @return the data centre, or empty if the record is of another kind
+     */
+    Optional<String> closedDataCentre(String key);
+
     /**
      * Decodes the description that a worker publishes of itself.
      *
@@ -67,9 +74,9 @@
   private final TopicFollower progress;
   private final TopicFollower configurations;
   private final TopicFollower workers;
+  private final OperatorRecords operatorRecords;
   private final PlannerRole role;
   private final JobSearch search;
-  private volatile Configuration configuration;
   private volatile long currentAsOfMillis = NEVER;
   private volatile long lastLogReplyMillis = NEVER;
   private volatile boolean leaving;
@@ -92,6 +99,7 @@
     events = ports.events();
     control = ports.control();
     writer = new RequestWriter(log, control, time, events);
+    operatorRecords = new OperatorRecords(decoder, events, this::onConfiguration);
     long wait = settings.readWaitMillis();
     requests =
         follower(
@@ -105,7 +113,7 @@
     configurations =
         follower(
             Topic.CONFIGURATION,
-            this::onConfiguration,
+            operatorRecords,
             settings.heartbeatWaitMillis(),
             settings.plannerReadIntervalMillis());
     workers =
@@ -159,6 +167,7 @@
     if (dispatcher != null) {
       lastLogReplyMillis = Math.max(lastLogReplyMillis, dispatcher.confirmedMillis());
       dispatcher.setWorkersCurrentAsOf(workers.currentAsOfMillis());
+      dispatcher.setClosures(operatorRecords.closures(configurations.currentAsOfMillis()));
       dispatcher.tick();
     } else if (canPlan() && progress.isLoaded()) {
       role.claimIfVacant(progress.nextOffset(), this::onElected);
@@ -166,13 +175,13 @@
   }
 
   private boolean canPlan() {
-    return !leaving && configuration != null && requests.isLoaded();
+    return !leaving && configuration() != null && requests.isLoaded();
   }
 
   /** Returns whether the VM can serve callers' requests. Any thread. */
   public boolean isReady() {
     return !leaving
-        && configuration != null
+        && configuration() != null
         && !rejectingRequests
         && currentAsOfMillis != NEVER
         && !isLogUnreachable();
@@ -186,7 +195,7 @@
 
   /** Returns the configuration in force, null before the first. Any thread. */
   public Configuration configuration() {
-    return configuration;
+    return operatorRecords.configuration();
   }
 
   /** Returns whether this VM plans. Any thread; the result may be stale. */
@@ -324,29 +333,7 @@
     }
   }
 
-  private void onConfiguration(KeyedRecord record) {
-    if (!record.key().equals(CONFIGURATION_KEY) || record.value() == null) {
-      return;
-    }
-    Optional<Configuration> decoded = decoder.decodeConfiguration(record.value());
-    if (decoded.isEmpty()) {
-      events.warn("configuration-unreadable", "offset", record.offset());
-      return;
-    }
-    Configuration latest = decoded.get();
-    Configuration current = configuration;
-    if (current != null && latest.version() <= current.version()) {
-      return;
-    }
-    configuration = latest;
-    events.info(
-        "configuration-applied",
-        "version",
-        latest.version(),
-        "offset",
-        record.offset(),
-        "queues",
-        latest.queueCount());
+  private void onConfiguration(Configuration latest) {
     if (dispatcher != null) {
       dispatcher.configure(latest);
     }
@@ -443,7 +430,8 @@
             (id, phase) -> entry(id).updatePhase(phase),
             evidence -> control.execute(() -> stepDown(term, evidence)));
     events.info("planner-started", "epoch", term.epoch(), "jobs", entries.size());
-    dispatcher.configure(configuration);
+    dispatcher.configure(configuration());
+    dispatcher.setClosures(operatorRecords.closures(configurations.currentAsOfMillis()));
     for (JobEntry entry : entries.values()) {
       if (entry.submission() != null) {
         addToDispatcher(entry);
@@ -512,7 +500,7 @@
   /** Returns a one-line summary of this VM's state, for the dump. Control thread. */
   public String describe() {
     Dispatcher current = dispatcher;
-    return "vm=%s planning=%s jobs=%d open=%d workers=%d backlog=%d configuration=%d"
+    return "vm=%s planning=%s jobs=%d open=%d workers=%d backlog=%d configuration=%d closed=%s"
         .formatted(
             settings.vm(),
             current != null,
@@ -520,6 +508,7 @@
             current == null ? -1 : current.openJobCount(),
             current == null ? -1 : current.workerCount(),
             current == null ? -1 : current.journalBacklog(),
-            configuration == null ? -1 : configuration.version());
+            configuration() == null ? -1 : configuration().version(),
+            operatorRecords.closures(configurations.currentAsOfMillis()).dataCentres());
   }
 }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -22,6 +22,7 @@
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.OrganisationAccess;
+import org.peridotroute.scheduler.model.PolicySettings;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.model.TaskId;
@@ -44,6 +45,9 @@
   /** Capacity of each worker. */
   public static final Capacity WORKER_CAPACITY = new Capacity(64_000, 256_000, 8);
 
+  /** Number of data centres, among which the racks are distributed in turn. */
+  public static final int DATA_CENTRES = 2;
+
   /** Number of workers in a rack. */
   public static final int WORKERS_PER_RACK = 4;
 
@@ -59,8 +63,24 @@
     LOSES_ANSWERS
   }
 
+  /** Time after which a closed data centre must get no more starts. */
+  public static final long CLOSURE_MILLIS = 5_000;
+
+  private static final String CLOSURE_PREFIX = "closed/";
+
   private static final DispatchSettings DISPATCH_SETTINGS =
-      new DispatchSettings(10_000, 1_500, 800, 400, 10_000, 3_400, 900, 3, 1_500, 250_000);
+      new DispatchSettings(
+          10_000,
+          1_500,
+          800,
+          400,
+          10_000,
+          3_400,
+          900,
+          3,
+          1_500,
+          250_000,
+          new PolicySettings(Set.of(), CLOSURE_MILLIS, 1, 0, 1, Map.of()));
   private static final long CANCEL_MILLIS = 3_000;
   private static final long TICK_MILLIS = 50;
   private static final long POLL_MILLIS = 10;
@@ -76,7 +96,7 @@
   private final Random random;
   private final LogModel log = new LogModel();
   private final SimulationOracle oracle =
-      new SimulationOracle(time, WORKER_CAPACITY, CANCEL_MILLIS);
+      new SimulationOracle(time, WORKER_CAPACITY, CANCEL_MILLIS, CLOSURE_MILLIS);
   private final Map<String, Vm> vms = new LinkedHashMap<>();
   private final Map<WorkerId, WorkerHost> workers = new LinkedHashMap<>();
   private final SimulatedWorkerGateway workerGateway;
@@ -177,7 +197,17 @@
     public Optional<Configuration> decodeConfiguration(byte[] value) {
       return Optional.of(
           new Configuration(
-              1, List.of(), List.of(new OrganisationAccess("org", List.of("key"), 8)), List.of()));
+              1,
+              List.of(),
+              List.of(new OrganisationAccess("org", List.of("key"), 8, List.of())),
+              List.of()));
+    }
+
+    @Override
+    public Optional<String> closedDataCentre(String key) {
+      return key.startsWith(CLOSURE_PREFIX)
+          ? Optional.of(key.substring(CLOSURE_PREFIX.length()))
+          : Optional.empty();
     }
 
     @Override
@@ -256,8 +286,9 @@
     append(Topic.CONFIGURATION, "config", new byte[] {1});
     for (int i = 0; i < workerCount; i++) {
       WorkerId id = new WorkerId("w-" + i);
-      String rack = "rack-" + i / WORKERS_PER_RACK;
-      addWorker(id, rack, "10.0.0." + i + ":1");
+      int rack = i / WORKERS_PER_RACK;
+      String dataCentre = "dc-" + rack % DATA_CENTRES;
+      addWorker(id, dataCentre, "rack-" + rack, "10.0.0." + i + ":1");
       setListed(id, true);
     }
     for (int i = 0; i < vmCount; i++) {
@@ -268,7 +299,7 @@
     advanceWorkers();
   }
 
-  private void addWorker(WorkerId id, String rack, String address) {
+  private void addWorker(WorkerId id, String dataCentre, String rack, String address) {
     workers.put(
         id,
         new WorkerHost(
@@ -276,12 +307,13 @@
                 id,
                 SERVICE,
                 address,
-                "dc",
+                dataCentre,
                 rack,
                 List.of("a", rack),
                 WORKER_CAPACITY,
                 false,
                 0,
+                0,
                 0)));
     restartWorker(id);
   }
@@ -341,7 +373,7 @@
     WorkerHost host = workers.get(id);
     host.incarnation.terminate();
     host.replaced = true;
-    addWorker(successor, host.info.rack(), host.info.address());
+    addWorker(successor, host.info.dataCentre(), host.info.rack(), host.info.address());
   }
 
   /**
@@ -388,6 +420,14 @@
     setListed(id, true);
   }
 
+  /** Closes a data centre for new work, or opens it again. */
+  public void setClosed(String dataCentre, boolean closed) {
+    append(Topic.CONFIGURATION, CLOSURE_PREFIX + dataCentre, closed ? new byte[] {1} : null);
+    workers.values().stream()
+        .filter(host -> host.info.dataCentre().equals(dataCentre))
+        .forEach(host -> oracle.onClosed(host.info.id().value(), closed));
+  }
+
   /** Adds a worker to the list of workers, or removes it. */
   public void setListed(WorkerId id, boolean listed) {
     append(Topic.WORKERS, id.value(), listed ? new byte[] {1} : null);
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
@@ -16,8 +16,8 @@
 /**
  * Observes the workers and records every violated invariant: a task that runs twice at a time,
  * starts before the steps it depends on or after its success was stored, starts although its job
- * was never submitted or was cancelled, or starts after too many failures or crashes of workers,
- * and a worker whose tasks exceed its capacity. Used by one thread.
+ * was never submitted or was cancelled, or starts after too many failures or crashes of workers, a
+ * start in a closed data centre, and a worker whose tasks exceed its capacity. Used by one thread.
  */
 public final class SimulationOracle implements WorkerModel.Observer {
   /** A run of a task and the worker that executes it. */
@@ -42,6 +42,8 @@
   private final Time time;
   private final Capacity capacity;
   private final long cancelMillis;
+  private final long closureMillis;
+  private final Map<String, Long> closedAtMillis = new HashMap<>();
   private final Map<JobId, JobRequest> requests = new HashMap<>();
   private final Map<JobId, Long> cancelledAtMillis = new HashMap<>();
   private final Map<TaskId, List<Location>> running = new HashMap<>();
@@ -64,11 +66,13 @@
    * @param time virtual time
    * @param capacity capacity of each worker
    * @param cancelMillis time after an acknowledged cancellation during which tasks may still start
+   * @param closureMillis time after the closing of a data centre during which tasks may still start
    */
-  public SimulationOracle(Time time, Capacity capacity, long cancelMillis) {
+  public SimulationOracle(Time time, Capacity capacity, long cancelMillis, long closureMillis) {
     this.time = time;
     this.capacity = capacity;
     this.cancelMillis = cancelMillis;
+    this.closureMillis = closureMillis;
   }
 
   /** Sets the number of failures after which a task must not start again. */
@@ -118,6 +122,7 @@
       report(worker.id() + " exceeds its capacity with " + task);
     }
     checkCrashes(worker, task, run);
+    checkClosure(worker, task);
     if (failures.getOrDefault(task, 0) >= maxAttempts) {
       report(task + " starts after " + maxAttempts + " failures");
     }
@@ -130,6 +135,22 @@
     }
   }
 
+  /** Records that the data centre of a worker was closed for new work, or opened again. */
+  public void onClosed(String worker, boolean closed) {
+    if (closed) {
+      closedAtMillis.put(worker, time.steadyMillis());
+    } else {
+      closedAtMillis.remove(worker);
+    }
+  }
+
+  private void checkClosure(WorkerModel worker, TaskId task) {
+    Long closedMillis = closedAtMillis.get(worker.id());
+    if (!lateCall && closedMillis != null && time.steadyMillis() > closedMillis + closureMillis) {
+      report(task + " starts on " + worker.id() + ", whose data centre is closed");
+    }
+  }
+
   /** Declares that a task crashes every worker that starts it. */
   public void onCrashingTask(TaskId task) {
     crashingTasks.add(task);
