Tell a successor how to reach workers with assigned runs

The successor knew only the id of a worker that had left the list, so it could not ask it and had to wait for every lease that anybody may have granted.

The planner stores address, incarnation and announced end of a worker with the first assignment to it (WorkerRecord, one small record for each worker, deleted once the worker is gone). A successor polls there, counts a crash if another incarnation answers, and ends the runs of a worker that had announced its end and refuses connections. Such a worker is no longer awaited in the list once its announced time has passed.

InheritedRunTest (3 tests), SimulatedClusterTest, CrashingTaskTest, RestartTest, ReusedAddressTest, SilentWorkerTest and JournalTest pass.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -1,6 +1,7 @@
 package org.peridotroute.scheduler.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -77,6 +78,7 @@
   private final Placer placer;
   private final Journal journal;
   private final WorkerManager workerManager;
+  private final WorkerRecords workerRecords;
   private final DurationEstimator durationEstimator = new DurationEstimator();
   private final RackSpeeds rackSpeeds = new RackSpeeds();
   private final PlanViewBuilder viewBuilder;
@@ -119,6 +121,7 @@
    * @param term the term
    * @param settings timing settings
    * @param ports external interfaces
+   * @param inherited what earlier planners knew of workers with assigned runs
    * @param onPhaseStored called with the phase of a job once it is on the log
    * @param onSuperseded called with the evidence when another planner has taken over
    */
@@ -126,6 +129,7 @@
       Term term,
       DispatchSettings settings,
       Ports ports,
+      Collection<WorkerRecord> inherited,
       BiConsumer<JobId, JobPhase> onPhaseStored,
       Consumer<String> onSuperseded) {
     this.term = term;
@@ -154,6 +158,8 @@
     workerManager =
         new WorkerManager(
             ports.gateway(), settings, term, ports.control(), time, ports.events(), this);
+    inherited.forEach(workerManager::inherit);
+    workerRecords = new WorkerRecords(inherited, journal::store, time.steadyMillis());
   }
 
   /** Returns the term. */
@@ -233,6 +239,7 @@
    */
   public void onWorkerListed(WorkerInfo info) {
     workerManager.onListed(info);
+    workerRecords.updateIfStored(workerManager.getOrCreate(info.id()));
     passNeeded = true;
   }
 
@@ -289,6 +296,7 @@
     }
     workerManager.tick();
     long now = time.steadyMillis();
+    workerRecords.prune(id -> workerManager.find(id) != null, now);
     long interval =
         passNeeded
             ? Math.min(
@@ -364,6 +372,7 @@
               attempt.setProbationMillis(step.tasks().get(index).crashHistory().probationMillis());
               WorkerState workerState = workerManager.getOrCreate(worker);
               workerState.attemptsByKey().put(key, attempt);
+              workerRecords.update(workerState);
               plannedAttempts.add(new PlannedAttempt(workerState, attempt));
             });
     storeProgress(job);
@@ -522,7 +531,7 @@
       Job job, StepProgress step, WorkerState workerState, long tookMillis) {
     long expected = durationEstimator.taskMillis(job.submission(), step.spec());
     durationEstimator.addObservation(job.submission(), step.spec(), tookMillis);
-    if (workerState.info() != null) {
+    if (workerState.isListed()) {
       rackSpeeds.addObservation(workerState.info().rack(), expected, tookMillis);
     }
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
@@ -43,6 +43,7 @@
   private final Consumer<AppendOutcome> onSuperseded;
   private final long maxProofAgeMillis;
   private final Set<Job> changedJobs = new LinkedHashSet<>();
+  private final List<KeyedRecord> otherRecords = new ArrayList<>();
   private List<Runnable> pendingActions = new ArrayList<>();
   private List<KeyedRecord> inFlight;
   private List<Runnable> inFlightActions = List.of();
@@ -84,6 +85,13 @@
     changedJobs.add(job);
   }
 
+  /**
+   * Adds a record to the next append, before the progress of jobs. Records must be few and small.
+   */
+  void store(KeyedRecord record) {
+    otherRecords.add(record);
+  }
+
   /** Runs an action once all changes marked so far are on the log. */
   void afterStored(Runnable action) {
     pendingActions.add(action);
@@ -120,7 +128,8 @@
     }
     if (inFlight == null) {
       boolean renewalDue = now - confirmedMillis >= renewMillis;
-      if (changedJobs.isEmpty() && pendingActions.isEmpty() && !renewalDue) {
+      boolean nothingToStore = changedJobs.isEmpty() && otherRecords.isEmpty();
+      if (nothingToStore && pendingActions.isEmpty() && !renewalDue) {
         return;
       }
       startAppend(now);
@@ -134,7 +143,8 @@
   }
 
   private void startAppend(long now) {
-    List<KeyedRecord> records = new ArrayList<>();
+    List<KeyedRecord> records = new ArrayList<>(otherRecords);
+    otherRecords.clear();
     int bytes = 0;
     Iterator<Job> changed = changedJobs.iterator();
     while (changed.hasNext() && bytes < MAX_APPEND_BYTES) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -132,6 +132,11 @@
     return workers.get(id);
   }
 
+  /** Adopts what an earlier planner knew of a worker. */
+  void inherit(WorkerRecord record) {
+    getOrCreate(record.id()).inherit(record);
+  }
+
   /** Handles the description that a worker publishes of itself. */
   void onListed(WorkerInfo info) {
     WorkerState worker = getOrCreate(info.id());
@@ -144,7 +149,7 @@
       events.info(
           "worker-draining", "worker", info.id(), "remainingMillis", info.remainingMillis());
     }
-    worker.markListed(info);
+    worker.markListed(info, time.steadyMillis());
     worker.setInClosedDataCentre(closures.isClosed(info.dataCentre()));
     probeOthersAt(worker);
   }
@@ -334,8 +339,8 @@
       case OTHER_LIFE -> onWorkerGone(worker, "another incarnation replied at its address");
       case NOT_SENT -> {
         onNoReply(worker, reply.outcome());
-        if (!worker.isListed() && worker.info().draining()) {
-          onWorkerGone(worker, "it is draining, unlisted and refuses connections");
+        if (worker.hasLeftIfUnreachable(time.steadyMillis())) {
+          onWorkerGone(worker, "it has announced its end and refuses connections");
         }
       }
       default -> onNoReply(worker, reply.outcome());
@@ -369,8 +374,7 @@
       events.info("worker-regained", "worker", worker.id(), "calls", worker.unansweredCalls());
       listener.onChanged();
     }
-    boolean hadSeenToken = worker.hasSeenToken();
-    if (hadSeenToken && reply.startedAtMillis() != worker.startedAtMillis()) {
+    if (worker.isOtherIncarnation(reply.startedAtMillis())) {
       events.info("worker-reborn", "worker", worker.id(), "bornMillis", reply.startedAtMillis());
       onIncarnationReplaced(worker);
     } else {
--- /dev/null
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerRecord.java
@@ -0,0 +1,84 @@
+package org.peridotroute.scheduler.dispatch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.Capacity;
+import org.peridotroute.scheduler.model.WorkerInfo;
+import org.peridotroute.scheduler.port.KeyedRecord;
+
+/**
+ * What a planner knew of a worker when it assigned runs to it. A successor that no longer finds the
+ * worker in the list can still ask it, and tell whether it has restarted since.
+ *
+ * @param id the worker
+ * @param address host and port that it listens on
+ * @param startedAtMillis start of its incarnation on the worker's wall clock, 0 if unknown
+ * @param draining whether it had announced that it leaves
+ */
+public record WorkerRecord(WorkerId id, String address, long startedAtMillis, boolean draining) {
+  private static final String KEY_PREFIX = "!worker/";
+  private static final String SEPARATOR = " ";
+  private static final int FIELD_COUNT = 3;
+
+  /** Returns the record of a worker as it is known now. */
+  static WorkerRecord of(WorkerState worker) {
+    return new WorkerRecord(
+        worker.id(),
+        worker.info().address(),
+        Math.max(0, worker.startedAtMillis()),
+        worker.info().draining());
+  }
+
+  /** Returns the record to store. */
+  KeyedRecord toRecord() {
+    String text =
+        String.join(SEPARATOR, address, Long.toString(startedAtMillis), Boolean.toString(draining));
+    return KeyedRecord.of(KEY_PREFIX + id, text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns the record that deletes what is stored of a worker. */
+  static KeyedRecord deletion(WorkerId id) {
+    return KeyedRecord.of(KEY_PREFIX + id, null);
+  }
+
+  /**
+   * Returns the worker that a record concerns.
+   *
+   * @param key key of the record
+   * @return the worker, or empty if the record is of another kind
+   */
+  public static Optional<WorkerId> worker(String key) {
+    return key.startsWith(KEY_PREFIX) && key.length() > KEY_PREFIX.length()
+        ? Optional.of(new WorkerId(key.substring(KEY_PREFIX.length())))
+        : Optional.empty();
+  }
+
+  /**
+   * Parses a stored record.
+   *
+   * @param id the worker
+   * @param value value of the record
+   * @return the record, or empty if the value is malformed
+   */
+  public static Optional<WorkerRecord> read(WorkerId id, byte[] value) {
+    String[] fields = new String(value, StandardCharsets.UTF_8).split(SEPARATOR, -1);
+    if (fields.length < FIELD_COUNT) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(
+          new WorkerRecord(
+              id, fields[0], Long.parseLong(fields[1]), Boolean.parseBoolean(fields[2])));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns a description for calls to a worker that is not listed. It offers no capacity. */
+  WorkerInfo toInfo() {
+    return new WorkerInfo(
+        id, "", address, "", "", List.of(), Capacity.NONE, draining, 0, startedAtMillis, 0);
+  }
+}
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -42,6 +42,8 @@
   private long quarantinedUntilMillis;
   private int consecutiveFailures;
   private boolean inClosedDataCentre;
+  private long inheritedStartMillis;
+  private long announcedEndMillis = Long.MAX_VALUE;
 
   WorkerState(WorkerId id, long leasesExpireMillis) {
     this.id = id;
@@ -56,9 +58,41 @@
     return info;
   }
 
-  void markListed(WorkerInfo latest) {
+  void markListed(WorkerInfo latest, long nowMillis) {
     info = latest;
     listed = true;
+    announcedEndMillis =
+        latest.draining()
+            ? Math.min(announcedEndMillis, nowMillis + latest.remainingMillis())
+            : Long.MAX_VALUE;
+  }
+
+  /** Adopts what an earlier planner knew of the worker, until the worker is listed. */
+  void inherit(WorkerRecord record) {
+    inheritedStartMillis = record.startedAtMillis();
+    if (info == null) {
+      info = record.toInfo();
+    }
+  }
+
+  /**
+   * Returns whether a reply comes from another incarnation than the one that got its runs, from
+   * this planner or an earlier one.
+   *
+   * @param startedAt start of the incarnation that has replied
+   */
+  boolean isOtherIncarnation(long startedAt) {
+    return tokenSeen
+        ? startedAt != startedAtMillis
+        : inheritedStartMillis > 0 && startedAt > 0 && startedAt != inheritedStartMillis;
+  }
+
+  /**
+   * Returns whether a refused connection shows that the worker has left: it has announced that it
+   * leaves, and it is no longer listed or the announced time has passed.
+   */
+  boolean hasLeftIfUnreachable(long nowMillis) {
+    return info.draining() && (!listed || nowMillis >= announcedEndMillis);
   }
 
   void markUnlisted() {
@@ -157,6 +191,7 @@
   void markTokenSeen(long startedAt, long expiredByMillis) {
     tokenSeen = true;
     startedAtMillis = startedAt;
+    inheritedStartMillis = 0;
     leasesExpireMillis = expiredByMillis;
   }
 
@@ -173,6 +208,7 @@
     lastStoredEnd = 0;
     acknowledgedEnd = 0;
     startedAtMillis = UNKNOWN;
+    inheritedStartMillis = 0;
     clockMillis = -1;
     tokenSeen = false;
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
@@ -55,4 +55,25 @@
         startedAtMillis,
         coldMillis);
   }
+
+  /**
+   * Returns a copy that announces that the worker leaves.
+   *
+   * @param millis minimum time until it leaves, in milliseconds
+   * @return the copy
+   */
+  public WorkerInfo asDraining(long millis) {
+    return new WorkerInfo(
+        id,
+        service,
+        address,
+        dataCentre,
+        rack,
+        labels,
+        capacity,
+        true,
+        millis,
+        startedAtMillis,
+        coldMillis);
+  }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -1,5 +1,6 @@
 package org.peridotroute.scheduler.node;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -10,6 +11,7 @@
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
 import org.peridotroute.scheduler.dispatch.Term;
+import org.peridotroute.scheduler.dispatch.WorkerRecord;
 import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
@@ -69,6 +71,7 @@
   private final Decoder decoder;
   private final Map<JobId, JobEntry> entries = new ConcurrentHashMap<>();
   private final Map<WorkerId, WorkerInfo> registeredWorkers = new ConcurrentHashMap<>();
+  private final Map<WorkerId, WorkerRecord> workerRecords = new HashMap<>();
   private final RequestWriter writer;
   private final TopicFollower requests;
   private final TopicFollower progress;
@@ -377,6 +380,7 @@
   private final class ProgressListener implements TopicFollower.Listener {
     @Override
     public void onRecord(KeyedRecord record) {
+      WorkerRecord.worker(record.key()).ifPresent(id -> onWorkerRecord(id, record.value()));
       if (record.value() == null) {
         return;
       }
@@ -397,6 +401,13 @@
       }
     }
 
+    private void onWorkerRecord(WorkerId id, byte[] value) {
+      workerRecords.remove(id);
+      if (value != null) {
+        WorkerRecord.read(id, value).ifPresent(record -> workerRecords.put(id, record));
+      }
+    }
+
     @Override
     public void onRead(boolean empty, long sentMillis, long endOffset) {
       if (dispatcher == null && canPlan()) {
@@ -427,6 +438,7 @@
             term,
             settings.dispatch(),
             ports,
+            workerRecords.values(),
             (id, phase) -> entry(id).updatePhase(phase),
             evidence -> control.execute(() -> stepDown(term, evidence)));
     events.info("planner-started", "epoch", term.epoch(), "jobs", entries.size());
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -428,6 +428,25 @@
         .forEach(host -> oracle.onClosed(host.info.id().value(), closed));
   }
 
+  /**
+   * Lets a worker leave at notice. Its tasks are lost when it has left.
+   *
+   * @param noticeMillis time from the announcement until its process exits
+   * @param unlistMillis time from the announcement until the worker is no longer listed
+   */
+  public void leave(WorkerId id, long noticeMillis, long unlistMillis) {
+    WorkerHost host = workers.get(id);
+    host.info = host.info.asDraining(noticeMillis);
+    setListed(id, true);
+    time.after(
+        noticeMillis,
+        () -> {
+          host.incarnation.terminate();
+          host.gone = true;
+        });
+    time.after(unlistMillis, () -> setListed(id, false));
+  }
+
   /** Adds a worker to the list of workers, or removes it. */
   public void setListed(WorkerId id, boolean listed) {
     append(Topic.WORKERS, id.value(), listed ? new byte[] {1} : null);
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
@@ -22,6 +22,8 @@
   private static final CallReply UNKNOWN = new CallReply(CallOutcome.UNKNOWN, -1);
   private static final CallReply OTHER_LIFE = new CallReply(CallOutcome.OTHER_LIFE, -1);
 
+  private static final CallReply REFUSED = new CallReply(CallOutcome.NOT_SENT, -1);
+
   private final VirtualTime time;
   private final Random random;
   private final SimulationOracle oracle;
@@ -82,7 +84,8 @@
       long transferMillis,
       Function<WorkerModel, T> request,
       T unknown,
-      T otherLife) {
+      T otherLife,
+      T refused) {
     CompletableFuture<T> answer = new CompletableFuture<>();
     if (transferMillis > 0) {
       time.after(callTimeoutMillis, () -> answer.complete(unknown));
@@ -93,7 +96,9 @@
     time.after(
         transferMillis + 1 + random.nextInt(12),
         () -> {
-          if (host.replaced && !host.disconnected) {
+          if (host.gone && !host.disconnected) {
+            answer.complete(refused);
+          } else if (host.replaced && !host.disconnected) {
             time.after(1 + random.nextInt(12), () -> answer.complete(otherLife));
           } else if (host.disconnected || host.incarnation.isTerminated()) {
             time.after(callTimeoutMillis, () -> answer.complete(unknown));
@@ -126,12 +131,17 @@
   @Override
   public CompletableFuture<CallReply> start(Target target, StartRequest request) {
     return call(
-        target, transferMillis(request), worker -> worker.start(request), UNKNOWN, OTHER_LIFE);
+        target,
+        transferMillis(request),
+        worker -> worker.start(request),
+        UNKNOWN,
+        OTHER_LIFE,
+        REFUSED);
   }
 
   @Override
   public CompletableFuture<CallReply> stop(Target target, TaskId task, int run, long token) {
-    return call(target, 0, worker -> worker.stop(task, run, token), UNKNOWN, OTHER_LIFE);
+    return call(target, 0, worker -> worker.stop(task, run, token), UNKNOWN, OTHER_LIFE, REFUSED);
   }
 
   @Override
@@ -163,6 +173,10 @@
       long untilMillis,
       CompletableFuture<PollReply> answer,
       PollReply unknown) {
+    if (host.gone && !host.disconnected) {
+      answer.complete(failedPoll(CallOutcome.NOT_SENT));
+      return;
+    }
     if (host.replaced && !host.disconnected) {
       time.after(1 + random.nextInt(12), () -> answer.complete(failedPoll(CallOutcome.OTHER_LIFE)));
       return;
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
@@ -11,6 +11,9 @@
   /** Whether another worker has taken over the address; it rejects calls meant for this one. */
   boolean replaced;
 
+  /** Whether its process has exited, so that connections are refused. */
+  boolean gone;
+
   WorkerHost(WorkerInfo info) {
     this.info = info;
   }
--- /dev/null
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/InheritedRunTest.java
@@ -0,0 +1,106 @@
+package org.peridotroute.scheduler;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.Capacity;
+import org.peridotroute.scheduler.model.JobId;
+import org.peridotroute.scheduler.model.JobRequest;
+import org.peridotroute.scheduler.model.Schedule;
+import org.peridotroute.scheduler.model.StepId;
+import org.peridotroute.scheduler.model.StepSpec;
+import org.peridotroute.scheduler.model.TaskId;
+import org.peridotroute.scheduler.port.Events;
+import org.peridotroute.standin.world.SimulatedCluster;
+
+/**
+ * Guards against runs whose fate a new planner cannot find out, because their worker has left the
+ * list: they would be started again only after all leases have expired, and a crash of the worker
+ * would not be counted.
+ */
+final class InheritedRunTest {
+  /** Time for which a job may stand still while there is capacity for it. */
+  private static final long MAX_STANDSTILL_MILLIS = 3_000;
+
+  private static final long RUN_MILLIS = 6_000;
+
+  private static JobId id(int number) {
+    return new JobId("%016x".formatted(number));
+  }
+
+  private static JobRequest job(int tasks, long millis) {
+    return new JobRequest(
+        "payload",
+        List.of(
+            StepSpec.newBuilder()
+                .setCount(tasks)
+                .setNeed(new Capacity(2_000, 2_000, 2))
+                .setEstimateMillis(millis)
+                .build()),
+        Schedule.ONCE);
+  }
+
+  private static void awaitPlannerOtherThan(SimulatedCluster cluster, String former) {
+    while (cluster.planner().isEmpty() || cluster.planner().get().equals(former)) {
+      cluster.time().pass(50);
+    }
+  }
+
+  // A successor waited 20 s for the leases of workers that had left the list before it took over.
+  @Test
+  void rerunsTheWorkOfWorkersThatLeftAroundAChangeOfPlanner() {
+    for (int seed = 1; seed <= 8; seed++) {
+      SimulatedCluster cluster = new SimulatedCluster(seed, 3, 12, Events.NONE);
+      cluster.time().pass(4_000);
+      for (int i = 0; i < 4; i++) {
+        cluster.submit(id(i), job(8, RUN_MILLIS), 1);
+      }
+      cluster.time().pass(1_500);
+      List<WorkerId> leaving = cluster.workerIds().subList(0, 4);
+      leaving.forEach(worker -> cluster.leave(worker, 1_600, 2_600));
+      cluster.time().pass(1_700);
+      String former = cluster.planner().orElseThrow();
+      cluster.kill(former, 60_000);
+      awaitPlannerOtherThan(cluster, former);
+      cluster.time().pass(MAX_STANDSTILL_MILLIS + RUN_MILLIS);
+      assertThat(cluster.oracle().violations()).isEmpty();
+      assertThat(cluster.unfinished()).isEmpty();
+    }
+  }
+
+  // A crash that only the next planner could notice was not counted against the task.
+  @Test
+  void countsCrashesThatHappenAroundChangesOfPlanner() {
+    for (int seed = 1; seed <= 8; seed++) {
+      SimulatedCluster cluster = new SimulatedCluster(seed, 5, 12, Events.NONE);
+      cluster.time().pass(4_000);
+      cluster.setCrashing(new TaskId(new StepId(id(1), 0, 0), 0), 40);
+      cluster.submit(id(1), job(1, 2_000), 1);
+      for (int round = 0; round < 12; round++) {
+        int before = cluster.oracle().starts();
+        for (int i = 0; i < 400 && cluster.oracle().starts() == before; i++) {
+          cluster.time().pass(50);
+        }
+        cluster.planner().ifPresent(planner -> cluster.kill(planner, 9_000));
+      }
+      cluster.time().pass(60_000);
+      assertThat(cluster.oracle().violations()).isEmpty();
+      assertThat(cluster.unfinished()).isEmpty();
+    }
+  }
+
+  // A worker that has announced its end was awaited in the list for seconds after it had left.
+  @Test
+  void doesNotWaitForTheListOnceAWorkerHasLeftAsAnnounced() {
+    SimulatedCluster cluster = new SimulatedCluster(1, 2, 12, Events.NONE);
+    cluster.time().pass(4_000);
+    cluster.submit(id(1), job(8, RUN_MILLIS), 1);
+    cluster.time().pass(1_500);
+    cluster.workerIds().subList(0, 6).forEach(worker -> cluster.leave(worker, 1_600, 30_000));
+    cluster.time().pass(1_600 + MAX_STANDSTILL_MILLIS + RUN_MILLIS);
+    assertThat(cluster.oracle().violations()).isEmpty();
+    assertThat(cluster.unfinished()).isEmpty();
+  }
+}
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/PassIntervalTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/PassIntervalTest.java
@@ -103,6 +103,7 @@
                   nowMillis += PASS_MILLIS;
                   return List.of();
                 }),
+            List.of(),
             (id, phase) -> {},
             evidence -> {});
     Configuration configuration = new Configuration(1, List.of(), List.of(), List.of());
