Refuse jobs that can no longer be of use to their callers

Nothing was refused for load: every accepted job waited, and what could no longer be of use ran last. With the feature admission the planner publishes the waiting work beside its next append, and each VM refuses a job that could not end before three times its objective, unless a guarantee covers it or it needs less than most waiting jobs. The callers' requests move from SchedulerVm to JobRequests.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -7,12 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.load.LoadSummary;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.StepId;
@@ -84,8 +84,8 @@
   private final PlanViewBuilder viewBuilder;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<StepId, CapacityClaim> claims = new HashMap<>();
-  private final BiConsumer<JobId, JobPhase> onPhaseStored;
-  private final Consumer<String> onSuperseded;
+  private final Listener listener;
+  private final LoadMeter loadMeter;
   private final ClosureBound closureBound;
   private Closures closures = Closures.UNKNOWN;
   private boolean startsWithheld;
@@ -97,6 +97,18 @@
   private long lastPassTookMillis;
   private boolean closed;
 
+  /** Called by a dispatcher on the control thread. */
+  public interface Listener {
+    /** Called with the phase of a job once it is on the log. */
+    void onPhaseStored(JobId id, JobPhase phase);
+
+    /** Called with each load summary that is about to be published. */
+    void onLoadMeasured(LoadSummary summary);
+
+    /** Called with the evidence when another planner has taken over. */
+    void onSuperseded(String evidence);
+  }
+
   /**
    * External interfaces of a dispatcher.
    *
@@ -122,20 +134,18 @@
    * @param settings timing settings
    * @param ports external interfaces
    * @param inherited what earlier planners knew of workers with assigned runs
-   * @param onPhaseStored called with the phase of a job once it is on the log
-   * @param onSuperseded called with the evidence when another planner has taken over
+   * @param listener receives what the term brings about
    */
   public Dispatcher(
       Term term,
       DispatchSettings settings,
       Ports ports,
       Collection<WorkerRecord> inherited,
-      BiConsumer<JobId, JobPhase> onPhaseStored,
-      Consumer<String> onSuperseded) {
+      Listener listener) {
     this.term = term;
     this.settings = settings;
-    this.onPhaseStored = onPhaseStored;
-    this.onSuperseded = onSuperseded;
+    this.listener = listener;
+    loadMeter = new LoadMeter(term, durationEstimator);
     time = ports.time();
     dispatchEvents = new DispatchEvents(ports.events(), time, term, durationEstimator);
     placer = ports.placer();
@@ -308,11 +318,21 @@
       runPass(now);
       lastPassTookMillis = time.steadyMillis() - now;
     }
+    if (settings.policy().has(Feature.ADMISSION) && loadMeter.isDue(now)) {
+      publishLoad(now);
+    }
     if (!closed) {
       journal.flush(settings.renewMillis());
     }
   }
 
+  private void publishLoad(long now) {
+    LoadSummary summary =
+        loadMeter.measure(jobs.values(), workerManager.workers(), now, time.wallMillis());
+    journal.store(summary.toRecord());
+    listener.onLoadMeasured(summary);
+  }
+
   private void runPass(long now) {
     lastPassMillis = now;
     passNeeded = false;
@@ -466,7 +486,7 @@
   private void storeProgress(Job job) {
     journal.markChanged(job);
     JobPhase phase = job.phase();
-    journal.afterStored(() -> onPhaseStored.accept(job.submission().id(), phase));
+    journal.afterStored(() -> listener.onPhaseStored(job.submission().id(), phase));
     passNeeded = true;
   }
 
@@ -571,7 +591,7 @@
   private void stepDown(String evidence) {
     if (!closed) {
       close();
-      onSuperseded.accept(evidence);
+      listener.onSuperseded(evidence);
     }
   }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
@@ -86,7 +86,8 @@
   }
 
   /**
-   * Adds a record to the next append, before the progress of jobs. Records must be few and small.
+   * Adds a record to the next append, before the progress of jobs, without causing an append of its
+   * own. Records must be few and small.
    */
   void store(KeyedRecord record) {
     otherRecords.add(record);
@@ -128,8 +129,7 @@
     }
     if (inFlight == null) {
       boolean renewalDue = now - confirmedMillis >= renewMillis;
-      boolean nothingToStore = changedJobs.isEmpty() && otherRecords.isEmpty();
-      if (nothingToStore && pendingActions.isEmpty() && !renewalDue) {
+      if (changedJobs.isEmpty() && pendingActions.isEmpty() && !renewalDue) {
         return;
       }
       startAppend(now);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/RequestOutcome.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/RequestOutcome.java
@@ -8,6 +8,8 @@
   NOT_DONE,
   /** It is not known whether the request was stored. */
   UNKNOWN,
+  /** The job was refused because of the load. Nothing was stored and nothing will run. */
+  REFUSED,
   /** No job has the id. */
   NO_SUCH_JOB
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -12,7 +12,12 @@
 import org.peridotroute.scheduler.dispatch.Dispatcher;
 import org.peridotroute.scheduler.dispatch.Term;
 import org.peridotroute.scheduler.dispatch.WorkerRecord;
+import org.peridotroute.scheduler.load.AcceptAll;
+import org.peridotroute.scheduler.load.LoadHistory;
+import org.peridotroute.scheduler.load.LoadSummary;
+import org.peridotroute.scheduler.load.RefuseUseless;
 import org.peridotroute.scheduler.model.Configuration;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.Submission;
@@ -79,7 +84,8 @@
   private final TopicFollower workers;
   private final OperatorRecords operatorRecords;
   private final PlannerRole role;
-  private final JobSearch search;
+  private final JobRequests jobRequests;
+  private final LoadHistory loadHistory = new LoadHistory();
   private volatile long currentAsOfMillis = NEVER;
   private volatile long lastLogReplyMillis = NEVER;
   private volatile boolean leaving;
@@ -122,7 +128,21 @@
     workers =
         follower(Topic.WORKERS, new WorkerListener(), wait, settings.plannerReadIntervalMillis());
     role = new PlannerRole(settings, log, control, time, events);
-    search = new JobSearch(requests, progress, entries, this::isPlanning);
+    jobRequests =
+        new JobRequests(
+            entries,
+            writer,
+            new JobSearch(requests, progress, entries, this::isPlanning),
+            settings.dispatch().policy().has(Feature.ADMISSION)
+                ? new RefuseUseless()
+                : new AcceptAll(),
+            loadHistory,
+            new JobRequests.Callbacks(this::onSubmission, this::onCancel),
+            new JobRequests.VmState(this::isLogUnreachable, this::configuration),
+            control,
+            time,
+            events,
+            settings.requestTimeoutMillis());
   }
 
   private TopicFollower follower(
@@ -211,26 +231,10 @@
    *
    * @param submission the job
    * @param waitMillis longest time that the caller waits
-   * @return a future of the outcome
+   * @return a future of the result
    */
-  public CompletableFuture<RequestOutcome> submit(Submission submission, long waitMillis) {
-    JobEntry known = entries.get(submission.id());
-    if (known != null && known.submission() != null) {
-      return completed(RequestOutcome.DONE);
-    }
-    if (isLogUnreachable()) {
-      return completed(RequestOutcome.NOT_DONE);
-    }
-    long deadline = time.steadyMillis() + Math.min(waitMillis, settings.requestTimeoutMillis());
-    return store(
-        RequestCodec.writeSubmission(submission), () -> onSubmission(submission), deadline);
-  }
-
-  private CompletableFuture<RequestOutcome> store(
-      KeyedRecord record, Runnable onStored, long deadlineMillis) {
-    CompletableFuture<RequestOutcome> result = new CompletableFuture<>();
-    control.execute(() -> writer.store(record, onStored, deadlineMillis, result));
-    return result;
+  public CompletableFuture<SubmitResult> submit(Submission submission, long waitMillis) {
+    return jobRequests.submit(submission, waitMillis);
   }
 
   /**
@@ -241,22 +245,7 @@
    * @return a future of the outcome
    */
   public CompletableFuture<RequestOutcome> cancel(JobId id, long waitMillis) {
-    long deadline = time.steadyMillis() + Math.min(waitMillis, settings.requestTimeoutMillis());
-    return find(id)
-        .thenCompose(
-            outcome ->
-                outcome == RequestOutcome.DONE ? cancelKnown(id, deadline) : completed(outcome));
-  }
-
-  private CompletableFuture<RequestOutcome> cancelKnown(JobId id, long deadlineMillis) {
-    if (entries.get(id).visiblePhase().isEnded()) {
-      return completed(RequestOutcome.DONE);
-    }
-    return store(RequestCodec.writeCancellation(id), () -> onCancel(id), deadlineMillis);
-  }
-
-  private static CompletableFuture<RequestOutcome> completed(RequestOutcome outcome) {
-    return CompletableFuture.completedFuture(outcome);
+    return jobRequests.cancel(id, waitMillis);
   }
 
   /**
@@ -267,16 +256,7 @@
    *     no such job, or NOT_DONE if the log cannot be read
    */
   public CompletableFuture<RequestOutcome> find(JobId id) {
-    JobEntry known = entries.get(id);
-    if (known != null && known.submission() != null && known.visiblePhase().isEnded()) {
-      return completed(RequestOutcome.DONE);
-    }
-    if (isLogUnreachable()) {
-      return completed(RequestOutcome.NOT_DONE);
-    }
-    CompletableFuture<RequestOutcome> found = new CompletableFuture<>();
-    control.execute(() -> search.find(id, found));
-    return found;
+    return jobRequests.find(id);
   }
 
   /**
@@ -286,7 +266,7 @@
    * @return the phase, or empty if the job is not known here
    */
   public Optional<JobPhase> phase(JobId id) {
-    return Optional.ofNullable(entries.get(id)).map(JobEntry::visiblePhase);
+    return jobRequests.phase(id);
   }
 
   /**
@@ -296,10 +276,7 @@
    * @return the number of jobs of which no task has started
    */
   public long pendingJobCount(String queue) {
-    return entries.values().stream()
-        .filter(entry -> entry.visiblePhase() == JobPhase.PENDING)
-        .filter(entry -> entry.submission() != null && entry.submission().queue().equals(queue))
-        .count();
+    return jobRequests.pendingJobCount(queue);
   }
 
   private JobEntry entry(JobId id) {
@@ -389,6 +366,10 @@
         return;
       }
       role.onHeartbeat();
+      if (record.key().equals(LoadSummary.KEY)) {
+        LoadSummary.read(record.value())
+            .ifPresent(summary -> loadHistory.add(summary, time.steadyMillis()));
+      }
       if (dispatcher != null || !JobId.isValid(record.key())) {
         return;
       }
@@ -435,12 +416,7 @@
     }
     dispatcher =
         new Dispatcher(
-            term,
-            settings.dispatch(),
-            ports,
-            workerRecords.values(),
-            (id, phase) -> entry(id).updatePhase(phase),
-            evidence -> control.execute(() -> stepDown(term, evidence)));
+            term, settings.dispatch(), ports, workerRecords.values(), new DispatcherListener(term));
     events.info("planner-started", "epoch", term.epoch(), "jobs", entries.size());
     dispatcher.configure(configuration());
     dispatcher.setClosures(operatorRecords.closures(configurations.currentAsOfMillis()));
@@ -455,6 +431,30 @@
     step();
   }
 
+  /** Handles what a term of this VM brings about. */
+  private final class DispatcherListener implements Dispatcher.Listener {
+    private final Term term;
+
+    DispatcherListener(Term term) {
+      this.term = term;
+    }
+
+    @Override
+    public void onPhaseStored(JobId id, JobPhase phase) {
+      entry(id).updatePhase(phase);
+    }
+
+    @Override
+    public void onLoadMeasured(LoadSummary summary) {
+      loadHistory.add(summary, time.steadyMillis());
+    }
+
+    @Override
+    public void onSuperseded(String evidence) {
+      control.execute(() -> stepDown(term, evidence));
+    }
+  }
+
   private void stepDown(Term term, String evidence) {
     if (dispatcher == null || dispatcher.term().epoch() != term.epoch()) {
       return;
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -18,6 +18,7 @@
 import org.peridotroute.scheduler.dispatch.Dispatcher;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.JobRequest;
@@ -30,6 +31,7 @@
 import org.peridotroute.scheduler.node.RequestOutcome;
 import org.peridotroute.scheduler.node.SchedulerVm;
 import org.peridotroute.scheduler.node.SchedulerVmSettings;
+import org.peridotroute.scheduler.node.SubmitResult;
 import org.peridotroute.scheduler.plan.GangFirstPlacer;
 import org.peridotroute.scheduler.plan.PlanSettings;
 import org.peridotroute.scheduler.port.Events;
@@ -68,19 +70,6 @@
 
   private static final String CLOSURE_PREFIX = "closed/";
 
-  private static final DispatchSettings DISPATCH_SETTINGS =
-      new DispatchSettings(
-          10_000,
-          1_500,
-          800,
-          400,
-          10_000,
-          3_400,
-          900,
-          3,
-          1_500,
-          250_000,
-          new PolicySettings(Set.of(), CLOSURE_MILLIS, 1, 0, 1, Map.of()));
   private static final long CANCEL_MILLIS = 3_000;
   private static final long TICK_MILLIS = 50;
   private static final long POLL_MILLIS = 10;
@@ -92,6 +81,7 @@
   /** Time after a crash at which the platform drops the entry of the crashed worker. */
   private static final long UNLIST_MILLIS = 4_500;
 
+  private final DispatchSettings dispatchSettings;
   private final VirtualTime time = new VirtualTime();
   private final Random random;
   private final LogModel log = new LogModel();
@@ -133,7 +123,7 @@
           SchedulerVmSettings.newBuilder()
               .setVm(name)
               .setIncarnation("life" + incarnationCount++)
-              .setDispatch(DISPATCH_SETTINGS)
+              .setDispatch(dispatchSettings)
               .setReadWaitMillis(1_500)
               .setHeartbeatWaitMillis(800)
               .setPlannerReadIntervalMillis(20)
@@ -149,7 +139,7 @@
               control,
               time,
               events,
-              new GangFirstPlacer(new PlanSettings(3, 3_400, 900)));
+              new GangFirstPlacer(new PlanSettings(3, 3_400, 900, dispatchSettings.policy())));
       scheduler = new SchedulerVm(settings, ports, new Decoder());
       control.execute(scheduler::start);
       tick(bootNumber);
@@ -260,12 +250,12 @@
 
     @Override
     public long maxLeaseMillis() {
-      return DISPATCH_SETTINGS.leaseMillis();
+      return dispatchSettings.leaseMillis();
     }
 
     @Override
     public long stopMillis() {
-      return DISPATCH_SETTINGS.stopMillis() / 2;
+      return dispatchSettings.stopMillis() / 2;
     }
   }
 
@@ -278,11 +268,38 @@
    * @param events receives the events of all VMs
    */
   public SimulatedCluster(long seed, int vmCount, int workerCount, Events events) {
+    this(seed, vmCount, workerCount, events, Set.of());
+  }
+
+  /**
+   * Creates a cluster with optional features and boots its VMs and workers.
+   *
+   * @param seed seed of all random choices
+   * @param vmCount number of VMs, named vm-0, vm-1 and so on
+   * @param workerCount number of workers
+   * @param events receives the events of all VMs
+   * @param features the features that are switched on
+   */
+  public SimulatedCluster(
+      long seed, int vmCount, int workerCount, Events events, Set<Feature> features) {
+    dispatchSettings =
+        new DispatchSettings(
+            10_000,
+            1_500,
+            800,
+            400,
+            10_000,
+            3_400,
+            900,
+            3,
+            1_500,
+            250_000,
+            new PolicySettings(features, CLOSURE_MILLIS, 1, 0, 1, Map.of()));
     random = new Random(seed);
     this.events = events;
     workerGateway =
         new SimulatedWorkerGateway(
-            time, random, oracle, workers, DISPATCH_SETTINGS.callTimeoutMillis());
+            time, random, oracle, workers, dispatchSettings.callTimeoutMillis());
     append(Topic.CONFIGURATION, "config", new byte[] {1});
     for (int i = 0; i < workerCount; i++) {
       WorkerId id = new WorkerId("w-" + i);
@@ -501,7 +518,7 @@
 
   /** Limits the link from the VMs to the workers to the capacity that the VMs assume. */
   public void limitWorkerLink() {
-    workerGateway.setLinkBytesPerSecond(DISPATCH_SETTINGS.linkBytesPerSecond());
+    workerGateway.setLinkBytesPerSecond(dispatchSettings.linkBytesPerSecond());
   }
 
   /** Sets the share of runs that fail. */
@@ -537,7 +554,10 @@
   public CompletableFuture<RequestOutcome> submitAt(String name, JobId id, JobRequest request) {
     requests.put(id, request);
     oracle.onSubmitted(id, request);
-    return vms.get(name).scheduler.submit(submission(id, request, 0), 2_000);
+    return vms.get(name)
+        .scheduler
+        .submit(submission(id, request, 0), 2_000)
+        .thenApply(SubmitResult::outcome);
   }
 
   private Vm randomLiveVm() {
@@ -559,8 +579,8 @@
         vm.scheduler
             .submit(submission, 2_000)
             .thenAccept(
-                outcome -> {
-                  if (outcome == RequestOutcome.DONE) {
+                result -> {
+                  if (result.outcome() == RequestOutcome.DONE) {
                     accepted.add(submission.id());
                   } else {
                     time.after(500, () -> trySubmit(submission));
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/PassIntervalTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/PassIntervalTest.java
@@ -8,9 +8,11 @@
 import org.peridotroute.scheduler.dispatch.DispatchSettings;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
 import org.peridotroute.scheduler.dispatch.Term;
+import org.peridotroute.scheduler.load.LoadSummary;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.JobId;
+import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.Schedule;
 import org.peridotroute.scheduler.model.StepSpec;
@@ -86,6 +88,17 @@
             new JobRequest("payload", List.of(step), Schedule.ONCE)));
   }
 
+  private static final class IgnoringListener implements Dispatcher.Listener {
+    @Override
+    public void onPhaseStored(JobId id, JobPhase phase) {}
+
+    @Override
+    public void onLoadMeasured(LoadSummary summary) {}
+
+    @Override
+    public void onSuperseded(String evidence) {}
+  }
+
   @Test
   void leavesMostOfTheTimeToOtherWork() {
     Dispatcher dispatcher =
@@ -104,8 +117,7 @@
                   return List.of();
                 }),
             List.of(),
-            (id, phase) -> {},
-            evidence -> {});
+            new IgnoringListener());
     Configuration configuration = new Configuration(1, List.of(), List.of(), List.of());
     dispatcher.add(pendingJob());
     while (nowMillis < DAY_MILLIS) {
