--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/CommandRunner.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/CommandRunner.java
@@ -3,21 +3,23 @@
 import com.github.rvesse.airline.Cli;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.io.PrintStream;
+import java.util.List;
+import org.peridotroute.server.settings.SettingsException;
 
 /** Parses a command line and runs the selected command. */
 final class CommandRunner {
   private CommandRunner() {}
 
   static int run(Class<?> cliClass, Console console, String... arguments) {
-    String[] parsed = arguments.length == 0 ? new String[] {"help"} : arguments;
     try {
-      Object command = new Cli<>(cliClass).parse(parsed);
-      if (command instanceof ConsoleCommand consoleCommand) {
-        return consoleCommand.call(console);
+      Cli<ConsoleCommand> cli = new Cli<>(cliClass);
+      CommandLine commandLine = CommandLine.of(cli.getMetadata(), List.of(arguments));
+      if (commandLine.isHelpRequested()) {
+        commandLine.printHelp(console.out());
+        return ExitCode.OK;
       }
-      ((Runnable) command).run();
-      return ExitCode.OK;
-    } catch (ParseException e) {
+      return cli.parse(arguments).call(console);
+    } catch (ParseException | SettingsException e) {
       return fail(console.err(), ExitCode.USAGE, e.getMessage());
     } catch (CommandException e) {
       return fail(console.err(), e.exitCode(), e.getMessage());
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/ExitCode.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/ExitCode.java
@@ -1,5 +1,9 @@
 package org.peridotroute.pgm;
 
+import java.util.Collections;
+import java.util.Map;
+import java.util.TreeMap;
+
 /** Exit codes of both programs. */
 public final class ExitCode {
   /** The command succeeded. */
@@ -14,5 +18,15 @@
   /** No usable response arrived, so the outcome may be unknown. */
   public static final int UNREACHABLE = 3;
 
+  /** Text of each exit code in the help of both programs, by code. */
+  static final Map<Integer, String> DESCRIPTIONS =
+      Collections.unmodifiableMap(
+          new TreeMap<>(
+              Map.of(
+                  OK, "the command succeeded",
+                  REFUSED, "the request was refused or failed, or a comparison found differences",
+                  USAGE, "the command line, a file or the settings are invalid",
+                  UNREACHABLE, "no usable response arrived, so the outcome may be unknown")));
+
   private ExitCode() {}
 }
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/PeridotrouteMain.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/PeridotrouteMain.java
@@ -26,6 +26,17 @@
    * @param arguments the command line
    */
   public static void main(String[] arguments) {
-    System.exit(CommandRunner.run(PeridotrouteMain.class, Console.SYSTEM, arguments));
+    System.exit(run(Console.SYSTEM, arguments));
+  }
+
+  /**
+   * Runs a command.
+   *
+   * @param console the output streams
+   * @param arguments the command line
+   * @return the exit code
+   */
+  public static int run(Console console, String... arguments) {
+    return CommandRunner.run(PeridotrouteMain.class, console, arguments);
   }
 }
