--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CapacityLedger.java
@@ -234,6 +234,13 @@
     return found;
   }
 
+  /** Returns the workers without tasks of other jobs. */
+  static List<Entry> unshared(PlanView.PendingStep pending, List<Entry> candidates) {
+    return candidates.stream()
+        .filter(entry -> entry.countTasksOfOthers(pending.step().job()) == 0)
+        .toList();
+  }
+
   /** Keeps other jobs off the worker that a suspect task can soonest have to itself. */
   void vacateFor(PlanView.PendingStep pending, List<Entry> candidates) {
     JobId job = pending.step().job();
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.StepId;
 
 /**
  * Places pending steps by priority, then guarantee, then by whether they can still meet their
@@ -50,12 +51,20 @@
 
   @Override
   public List<PlacementDecision> decide(PlanView view) {
-    return new Pass(view).run();
+    return new Pass(view, null).run();
+  }
+
+  @Override
+  public StepTrace trace(PlanView view, StepId step) {
+    StepTracer tracer = new StepTracer(step);
+    Pass pass = new Pass(view, tracer);
+    return tracer.finish(pass.run(), pass.queue);
   }
 
   /** State of one scheduling pass. */
   private final class Pass {
     private final PlanView view;
+    private final StepTracer tracer;
     private final CapacityLedger ledger;
     private final VictimSelector victimSelector;
     private final EarliestStart earliestStart;
@@ -65,8 +74,9 @@
     private CapacityClaim ownClaim;
     private long heldAccelerators;
 
-    Pass(PlanView view) {
+    Pass(PlanView view, StepTracer tracer) {
       this.view = view;
+      this.tracer = tracer;
       ledger = new CapacityLedger(view.workers());
       victimSelector = new VictimSelector(view.runningTasks());
       earliestStart = new EarliestStart(view.runningTasks());
@@ -82,6 +92,9 @@
         }
         ownClaim = claims.release(pending);
         List<CapacityLedger.Entry> candidates = ledger.candidates(pending);
+        if (tracer != null && tracer.isOf(pending)) {
+          traceTurn(pending, candidates);
+        }
         if (pending.spec().gang()) {
           placeGang(pending, candidates);
         } else {
@@ -91,6 +104,19 @@
       return decisions;
     }
 
+    private void traceTurn(PlanView.PendingStep pending, List<CapacityLedger.Entry> candidates) {
+      int members = pending.tasks().size();
+      tracer.onTurn(
+          pending,
+          view.workers(),
+          candidates,
+          fullSpeedGroups(pending, candidates, members),
+          group -> earliestStart.waitMillis(pending, group, members));
+      tracer.onConditions(
+          preservesUrgentReserve(pending, pending.spec().gang() ? members : 1),
+          !pending.suspects().tasks().isEmpty() && mayWaitForIsolation(pending));
+    }
+
     /** Returns the workers on which the step at hand has claimed capacity. */
     private List<CapacityLedger.Entry> claimedEntries() {
       return ownClaim == null
@@ -171,7 +197,7 @@
      */
     private boolean placeIsolatedGang(
         PlanView.PendingStep pending, List<CapacityLedger.Entry> candidates, int members) {
-      List<CapacityLedger.Entry> unshared = unshared(pending, candidates);
+      List<CapacityLedger.Entry> unshared = CapacityLedger.unshared(pending, candidates);
       List<CapacityLedger.Entry> best =
           bestFit(pending, fullSpeedGroups(pending, unshared, members), members);
       if (best != null && preservesUrgentReserve(pending, members)) {
@@ -191,14 +217,6 @@
       return view.nowMillis() < pending.suspects().isolateUntilMillis();
     }
 
-    /** Returns the workers without tasks of other jobs. */
-    private static List<CapacityLedger.Entry> unshared(
-        PlanView.PendingStep pending, List<CapacityLedger.Entry> candidates) {
-      return candidates.stream()
-          .filter(entry -> entry.countTasksOfOthers(pending.step().job()) == 0)
-          .toList();
-    }
-
     /** Returns whether a guaranteed step has to get its capacity now to start within its bound. */
     private boolean isReclaimDue(PlanView.PendingStep pending) {
       return pending.guaranteed()
@@ -545,7 +563,8 @@
         if (!preservesUrgentReserve(pending, 1)) {
           break;
         }
-        CapacityLedger.Entry entry = bestEntry(pending, unshared(pending, candidates));
+        CapacityLedger.Entry entry =
+            bestEntry(pending, CapacityLedger.unshared(pending, candidates));
         if (entry != null) {
           entry.allocate(pending);
           entry.isolateFor(pending.step().job());
