--- a/org.peridotroute.http/src/org/peridotroute/http/AsyncAdapter.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/AsyncAdapter.java
@@ -41,6 +41,7 @@
             exchange.getRequestMethod().toString(),
             exchange.getHostName() == null ? "" : exchange.getHostName(),
             exchange.getRequestPath(),
+            exchange.getQueryString(),
             name -> exchange.getRequestHeaders().getFirst(name),
             body);
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> handle(exchange, request));
--- a/org.peridotroute.http/src/org/peridotroute/http/AsyncHandler.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/AsyncHandler.java
@@ -11,6 +11,7 @@
    * @param method the HTTP method
    * @param host host that the client addressed, without the port; empty if absent
    * @param path the request path, not decoded
+   * @param query the query string, not decoded; empty if there is none
    * @param headers returns the first value of a header by name, or null if the header is absent
    * @param body the request body, empty if there is none
    */
@@ -19,6 +20,7 @@
       String method,
       String host,
       String path,
+      String query,
       java.util.function.UnaryOperator<String> headers,
       byte[] body) {}
 
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/PeridotctlMain.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/PeridotctlMain.java
@@ -20,6 +20,7 @@
       AnswerCommand.class,
       CancelCommand.class,
       DumpCommand.class,
+      ExplainCommand.class,
       SettingsSchemaCommand.class
     },
     groups =
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -16,6 +16,7 @@
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.StepId;
+import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.place.ClosureBound;
@@ -323,15 +324,7 @@
         openJobsLeft = true;
       }
     }
-    PlanView view =
-        viewBuilder.build(
-            jobs.values(),
-            jobs,
-            workerManager.workers(),
-            configuration,
-            claims.values(),
-            now,
-            wall);
+    PlanView view = buildView(viewBuilder, jobs, now, wall);
     claims
         .keySet()
         .retainAll(
@@ -353,6 +346,30 @@
     }
   }
 
+  private PlanView buildView(PlanViewBuilder builder, Map<JobId, Job> among, long now, long wall) {
+    return builder.build(
+        among.values(), among, workerManager.workers(), configuration, claims.values(), now, wall);
+  }
+
+  /**
+   * Returns the view that a pass would decide on now. Changes nothing.
+   *
+   * @param submission a job that is added to the view unless the planner has considered it already
+   */
+  public PlanView viewWith(Submission submission) {
+    long now = time.steadyMillis();
+    long wall = time.wallMillis();
+    return ViewOfNow.with(
+        jobs, submission, wall, among -> buildView(viewBuilder.copy(), among, now, wall));
+  }
+
+  /** Returns the age of the list of workers, -1 if it has not been read. */
+  public long workerListAgeMillis() {
+    return workersCurrentAsOfMillis == Long.MIN_VALUE
+        ? -1
+        : time.steadyMillis() - workersCurrentAsOfMillis;
+  }
+
   private void assignTasks(PlacementDecision.Start start, long now) {
     Job job = jobs.get(start.step().job());
     StepProgress step =
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -33,8 +33,8 @@
   private final RackSpeeds rackSpeeds;
   private final long maxStopMillis;
   private final PolicySettings policy;
-  private final UrgentDemand urgentDemand = new UrgentDemand();
-  private final SuspectWaits suspectWaits = new SuspectWaits();
+  private final UrgentDemand urgentDemand;
+  private final SuspectWaits suspectWaits;
 
   /**
    * Creates a builder.
@@ -47,10 +47,39 @@
       RackSpeeds rackSpeeds,
       long maxStopMillis,
       PolicySettings policy) {
+    this(
+        durationEstimator,
+        rackSpeeds,
+        maxStopMillis,
+        policy,
+        new UrgentDemand(),
+        new SuspectWaits());
+  }
+
+  private PlanViewBuilder(
+      DurationEstimator durationEstimator,
+      RackSpeeds rackSpeeds,
+      long maxStopMillis,
+      PolicySettings policy,
+      UrgentDemand urgentDemand,
+      SuspectWaits suspectWaits) {
     this.policy = policy;
     this.maxStopMillis = maxStopMillis;
     this.durationEstimator = durationEstimator;
     this.rackSpeeds = rackSpeeds;
+    this.urgentDemand = urgentDemand;
+    this.suspectWaits = suspectWaits;
+  }
+
+  /** Returns a copy for a view that no pass decides on; it leaves this builder as it is. */
+  PlanViewBuilder copy() {
+    return new PlanViewBuilder(
+        durationEstimator,
+        rackSpeeds,
+        maxStopMillis,
+        policy,
+        urgentDemand.copy(),
+        suspectWaits.copy());
   }
 
   PlanView build(
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/SuspectWaits.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/SuspectWaits.java
@@ -20,6 +20,13 @@
   private final Map<TaskId, Long> waitingSinceMillis = new HashMap<>();
   private final Set<TaskId> foundInPass = new HashSet<>();
 
+  /** Returns a copy whose updates leave this one as it is. */
+  SuspectWaits copy() {
+    SuspectWaits copy = new SuspectWaits();
+    copy.waitingSinceMillis.putAll(waitingSinceMillis);
+    return copy;
+  }
+
   /** Returns the suspects among the waiting tasks of a step. */
   PlanView.Suspects find(StepProgress step, List<Integer> waitingTasks, long nowMillis) {
     Set<Integer> suspects = new HashSet<>();
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/UrgentDemand.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/UrgentDemand.java
@@ -15,6 +15,14 @@
   private double peak;
   private long peakAtMillis;
 
+  /** Returns a copy whose updates leave this one as it is. */
+  UrgentDemand copy() {
+    UrgentDemand copy = new UrgentDemand();
+    copy.peak = peak;
+    copy.peakAtMillis = peakAtMillis;
+    return copy;
+  }
+
   /**
    * Records the current demand and returns the headroom to reserve.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Configuration.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Configuration.java
@@ -73,6 +73,29 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Finds a queue by its name.
+   *
+   * @param name the name
+   * @return the queue, or empty if there is none
+   */
+  public Optional<Queue> queueNamed(String name) {
+    return queuesByHost.values().stream()
+        .flatMap(List::stream)
+        .filter(queue -> queue.name().equals(name))
+        .findFirst();
+  }
+
+  /**
+   * Finds an organisation by its name.
+   *
+   * @param name the name
+   * @return the organisation, or empty if there is none
+   */
+  public Optional<OrganisationAccess> organisationNamed(String name) {
+    return Optional.ofNullable(organisations.get(name));
+  }
+
   /**
    * Finds the organisation that an API key belongs to.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Queue.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Queue.java
@@ -31,4 +31,13 @@
   public Queue {
     allowedRegions = List.copyOf(allowedRegions);
   }
+
+  /**
+   * Returns the terms of a job that the queue accepts now.
+   *
+   * @param regions regions in which its tasks may run, empty for all
+   */
+  public Submission.Terms terms(List<String> regions) {
+    return new Submission.Terms(priority, maxAttempts, stretch, objectiveMillis, regions);
+  }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/PlannerRole.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/PlannerRole.java
@@ -1,6 +1,7 @@
 package org.peridotroute.scheduler.node;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.peridotroute.scheduler.dispatch.Term;
@@ -79,6 +80,13 @@
     onHeartbeat();
   }
 
+  /** Returns the VM that plans as far as this one knows, empty if there is none. */
+  Optional<String> planner() {
+    return lastClaim == null || lastClaim.resigned()
+        ? Optional.empty()
+        : Optional.of(lastClaim.term().holder());
+  }
+
   /** Handles any record of the planner, which counts as a heartbeat. */
   void onHeartbeat() {
     lastHeartbeatMillis = time.steadyMillis();
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -80,6 +80,7 @@
   private final OperatorRecords operatorRecords;
   private final PlannerRole role;
   private final JobSearch search;
+  private final JobExplainer explainer;
   private volatile long currentAsOfMillis = NEVER;
   private volatile long lastLogReplyMillis = NEVER;
   private volatile boolean leaving;
@@ -123,6 +124,16 @@
         follower(Topic.WORKERS, new WorkerListener(), wait, settings.plannerReadIntervalMillis());
     role = new PlannerRole(settings, log, control, time, events);
     search = new JobSearch(requests, progress, entries, this::isPlanning);
+    explainer =
+        new JobExplainer(
+            settings.vm(),
+            time,
+            ports.placer(),
+            entries,
+            () -> dispatcher,
+            role::planner,
+            operatorRecords::configuration,
+            () -> operatorRecords.closures(configurations.currentAsOfMillis()));
   }
 
   private TopicFollower follower(
@@ -509,6 +520,11 @@
     }
   }
 
+  /** Returns the explainer of placements. Control thread. */
+  public JobExplainer explainer() {
+    return explainer;
+  }
+
   /** Returns a one-line summary of this VM's state, for the dump. Control thread. */
   public String describe() {
     Dispatcher current = dispatcher;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.peridotroute.errors.RecordFormatException;
 import org.peridotroute.scheduler.model.JobId;
+import org.peridotroute.scheduler.model.ProposedJob;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.port.KeyedRecord;
 
@@ -87,6 +88,18 @@
     return JobId.isValid(text) ? Optional.of(new JobId(text)) : Optional.empty();
   }
 
+  /**
+   * Decodes a job file: the organisation and the queue by name, and the request as submissions
+   * contain it.
+   *
+   * @param json the file
+   * @return the job
+   * @throws IOException if the file cannot be decoded
+   */
+  public static ProposedJob readProposedJob(byte[] json) throws IOException {
+    return MAPPER.readValue(json, ProposedJob.class);
+  }
+
   /**
    * Decodes a submission.
    *
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeServer.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeServer.java
@@ -51,6 +51,7 @@
   private final EventRing<Runnable> control;
   private final CompletableFuture<Throwable> brokenInvariant = new CompletableFuture<>();
   private final SchedulerVm schedulerVm;
+  private final ExplainHandler explainHandler;
   private final HttpServer callerService;
   private final HttpServer readinessService;
 
@@ -101,6 +102,7 @@
     schedulerVm =
         new SchedulerVm(
             settings.toSchedulerVmSettings(incarnation, policy), ports, adapters.decoder());
+    explainHandler = new ExplainHandler(schedulerVm::explainer, onControl, Time.SYSTEM);
     callerService =
         newService(settings.callers(), adapters.callerHandler().apply(schedulerVm, events));
     readinessService = newService(settings.readiness(), this::handleProbe);
@@ -116,11 +118,12 @@
         .build();
   }
 
-  /** Handles the load balancer's readiness probe and the paths of metrics and the state dump. */
+  /** Handles the load balancer's readiness probe and the paths for operators. */
   private CompletableFuture<HttpBytesReply.Outgoing> handleProbe(AsyncHandler.Incoming request) {
     return switch (request.path()) {
       case METRICS_PATH -> respond(OK, events.metrics().toPrometheusText());
       case DUMP_PATH -> stateDump();
+      case ExplainHandler.PATH -> explainHandler.handle(request);
       default -> respond(schedulerVm.isReady() ? OK : UNAVAILABLE, "{}");
     };
   }
