--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.stream.IntStream;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.dispatch.DispatchSettings;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
@@ -23,10 +24,12 @@
 import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.OrganisationAccess;
 import org.peridotroute.scheduler.model.PolicySettings;
+import org.peridotroute.scheduler.model.Queue;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.model.WorkerInfo;
+import org.peridotroute.scheduler.node.JobExplainer;
 import org.peridotroute.scheduler.node.RequestOutcome;
 import org.peridotroute.scheduler.node.SchedulerVm;
 import org.peridotroute.scheduler.node.SchedulerVmSettings;
@@ -48,6 +51,8 @@
   /** Number of data centres, among which the racks are distributed in turn. */
   public static final int DATA_CENTRES = 2;
 
+  private static final int QUEUES = 3;
+
   /** Number of workers in a rack. */
   public static final int WORKERS_PER_RACK = 4;
 
@@ -198,7 +203,7 @@
       return Optional.of(
           new Configuration(
               1,
-              List.of(),
+              IntStream.range(0, QUEUES).mapToObj(SimulatedCluster::queue).toList(),
               List.of(new OrganisationAccess("org", List.of("key"), 8, List.of())),
               List.of()));
     }
@@ -522,13 +527,25 @@
     trySubmit(submission(id, request, priority));
   }
 
+  /** Returns a queue with the terms of the jobs that are submitted with its priority. */
+  private static Queue queue(int priority) {
+    String name = "queue-" + priority;
+    return new Queue(
+        name, "simulated", "/" + name + "/", SERVICE, priority, 4, 3, 1_000, false, List.of());
+  }
+
+  /** Returns the explainer of a VM; it may be asked while no event is being handled. */
+  public JobExplainer explainer(String name) {
+    return vms.get(name).scheduler.explainer();
+  }
+
   private Submission submission(JobId id, JobRequest request, int priority) {
     return new Submission(
         id,
         "org",
         "queue-" + priority,
         SERVICE,
-        new Submission.Terms(priority, 4, 3, 1_000),
+        queue(priority).terms(List.of()),
         time.wallMillis(),
         request);
   }
