--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/JobRequest.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/JobRequest.java
@@ -24,10 +24,15 @@
    */
   public static final int MAX_TASKS = 6_000;
 
-  /** Checks the ranges, and that each step depends only on earlier ones. */
+  /**
+   * Checks the ranges, and that each step depends only on earlier ones. Records on the log omit
+   * empty values, so an absent payload is an empty one.
+   */
   public JobRequest {
+    payload = payload == null ? "" : payload;
+    schedule = schedule == null ? Schedule.ONCE : schedule;
     Checks.maxBytes("job.payload", payload, MAX_PAYLOAD_BYTES);
-    Checks.range("job.steps.length", steps.size(), 1, MAX_STEPS);
+    Checks.range("job.steps.length", Checks.present("job.steps", steps).size(), 1, MAX_STEPS);
     steps = List.copyOf(steps);
     for (int i = 0; i < steps.size(); i++) {
       steps.get(i).checkAfter(i);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Submission.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Submission.java
@@ -24,6 +24,11 @@
     Terms terms,
     long acceptedAtMillis,
     JobRequest request) {
+  /** Records on the log omit empty values, so an absent organisation is the empty one. */
+  public Submission {
+    organisation = organisation == null ? "" : organisation;
+  }
+
   /**
    * Terms of a queue.
    *
