--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.peridotroute.errors.RecordFormatException;
+import org.peridotroute.lib.Checks;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.ProposedJob;
 import org.peridotroute.scheduler.model.Submission;
@@ -95,9 +96,10 @@
    * @param json the file
    * @return the job
    * @throws IOException if the file cannot be decoded
+   * @throws org.peridotroute.errors.InvalidValueException if the file contains no job
    */
   public static ProposedJob readProposedJob(byte[] json) throws IOException {
-    return MAPPER.readValue(json, ProposedJob.class);
+    return Checks.present("job", MAPPER.readValue(json, ProposedJob.class));
   }
 
   /**
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/ExplainHandler.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/ExplainHandler.java
@@ -89,17 +89,17 @@
     ProposedJob job;
     try {
       job = RequestCodec.readProposedJob(body);
-    } catch (IOException e) {
+    } catch (IOException | InvalidValueException e) {
       return completed(BAD_REQUEST, "the job file is not valid: " + describe(e));
     }
     return onControl(current -> current.explain(job));
   }
 
-  private static String describe(IOException e) {
+  private static String describe(Exception e) {
     if (e.getCause() instanceof InvalidValueException invalid) {
       return invalid.getMessage();
     }
-    return e instanceof JsonProcessingException json ? Json.describe(json) : e.toString();
+    return e instanceof JsonProcessingException json ? Json.describe(json) : e.getMessage();
   }
 
   private CompletableFuture<Outgoing> onControl(Function<JobExplainer, JobExplanation> question) {
