--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -86,6 +86,7 @@
   private final PlannerRole role;
   private final JobRequests jobRequests;
   private final LoadHistory loadHistory = new LoadHistory();
+  private final JobExplainer explainer;
   private volatile long currentAsOfMillis = NEVER;
   private volatile long lastLogReplyMillis = NEVER;
   private volatile boolean leaving;
@@ -143,6 +144,16 @@
             time,
             events,
             settings.requestTimeoutMillis());
+    explainer =
+        new JobExplainer(
+            settings.vm(),
+            time,
+            ports.placer(),
+            entries,
+            () -> dispatcher,
+            role::planner,
+            operatorRecords::configuration,
+            () -> operatorRecords.closures(configurations.currentAsOfMillis()));
   }
 
   private TopicFollower follower(
@@ -509,6 +520,11 @@
     }
   }
 
+  /** Returns the explainer of placements. Control thread. */
+  public JobExplainer explainer() {
+    return explainer;
+  }
+
   /** Returns a one-line summary of this VM's state, for the dump. Control thread. */
   public String describe() {
     Dispatcher current = dispatcher;
