--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DurationEstimator.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DurationEstimator.java
@@ -15,6 +15,8 @@
   /** Duration assumed for a task without a declared duration. */
   private static final long DEFAULT_DURATION_MILLIS = 5_000;
 
+  private static final double MILLIS_PER_SECOND = 1_000.0;
+
   private final Map<String, QueueDurations> queues = new HashMap<>();
 
   /** Adds the durations that a submission declares. */
@@ -38,6 +40,21 @@
     return durations(submission).expectedMillis(declaredMillis(step));
   }
 
+  /**
+   * Returns the core-seconds that all tasks of a job are expected to use, with accelerators at
+   * their price in cores.
+   */
+  double coreSeconds(Submission submission) {
+    return submission.request().steps().stream()
+        .mapToDouble(
+            step ->
+                step.count()
+                    * step.reserved().pricedCores()
+                    * taskMillis(submission, step)
+                    / MILLIS_PER_SECOND)
+        .sum();
+  }
+
   private QueueDurations durations(Submission submission) {
     return queues.computeIfAbsent(submission.queue(), queue -> new QueueDurations());
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -81,7 +81,13 @@
         urgentDemand.updateHeadroom(
             urgentInUse(workerStates, jobsById) + urgentPending(pendingSteps), nowMillis);
     return new PlanView(
-        nowMillis, workers, pendingSteps, runningTasks, urgentReserve, List.copyOf(claims));
+        nowMillis,
+        workers,
+        pendingSteps,
+        runningTasks,
+        urgentReserve,
+        List.copyOf(claims),
+        organisationShares(pendingSteps, workerStates, jobsById, configuration));
   }
 
   /** Returns the urgent jobs that the guarantees of their organisations cover, oldest first. */
@@ -109,6 +115,30 @@
     return covered;
   }
 
+  private static Map<String, PlanView.OrganisationShare> organisationShares(
+      List<PlanView.PendingStep> pendingSteps,
+      Collection<WorkerState> workerStates,
+      Map<JobId, Job> jobsById,
+      Configuration configuration) {
+    Map<String, Long> inUse = new HashMap<>();
+    pendingSteps.forEach(pending -> inUse.put(pending.job().organisation(), 0L));
+    for (WorkerState workerState : workerStates) {
+      for (Attempt attempt : workerState.attempts()) {
+        Job job = jobsById.get(attempt.key().task().job());
+        if (job != null) {
+          inUse.merge(job.submission().organisation(), attempt.held().accelerators(), Long::sum);
+        }
+      }
+    }
+    Map<String, PlanView.OrganisationShare> shares = new HashMap<>();
+    inUse.forEach(
+        (name, used) ->
+            shares.put(
+                name,
+                new PlanView.OrganisationShare(configuration.guaranteedAccelerators(name), used)));
+    return shares;
+  }
+
   private void addPendingSteps(
       List<PlanView.PendingStep> pendingSteps,
       Job job,
@@ -118,6 +148,8 @@
       long wallMillis) {
     Submission submission = job.submission();
     long steadyMinusWall = nowMillis - wallMillis;
+    PlanView.JobView jobView =
+        new PlanView.JobView(submission.organisation(), durationEstimator.coreSeconds(submission));
     for (Occurrence occurrence : job.openOccurrences()) {
       long due = submission.request().schedule().dueMillis(occurrence.number());
       long waitingSince = (due > 0 ? due : submission.acceptedAtMillis()) + steadyMinusWall;
@@ -144,7 +176,8 @@
                 durationEstimator.taskMillis(submission, step.spec()),
                 durationEstimator.criticalPathMillis(submission, step.id().step()),
                 excludedWorkers,
-                suspectWaits.find(step, tasks, nowMillis)));
+                suspectWaits.find(step, tasks, nowMillis),
+                jobView));
       }
     }
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -10,14 +10,15 @@
 import org.peridotroute.lib.WorkerId;
 
 /**
- * Places pending steps by priority, then guarantee, then by whether they can still meet their
- * objective. A gang goes into the best-fitting rack; single tasks go to the fullest workers, so
- * that whole racks stay free. Urgent steps may preempt lower-priority work, unless they are expired
- * and no guarantee covers them; the victims are those that lose the least work. What they free
- * stays claimed for the step over the following passes. Immutable.
+ * Places pending steps in the order of a {@link QueueOrder}. A gang goes into the best-fitting
+ * rack; single tasks go to the fullest workers, so that whole racks stay free. Urgent steps may
+ * preempt lower-priority work, unless they are expired and no guarantee covers them; the victims
+ * are those that lose the least work. What they free stays claimed for the step over the following
+ * passes. Immutable.
  */
 public final class GangFirstPlacer implements Placer {
   private final PlanSettings settings;
+  private final QueueOrder order;
 
   /**
    * Creates the placer.
@@ -26,26 +27,7 @@
    */
   public GangFirstPlacer(PlanSettings settings) {
     this.settings = settings;
-  }
-
-  /**
-   * Orders the pending steps. Expired steps without a guarantee come last. The rest is ordered by
-   * priority, then guaranteed steps first. Within these, steps that can still meet their objective
-   * go before late ones, and small steps before large ones, so that most callers are served during
-   * an overload.
-   */
-  private static Comparator<PlanView.PendingStep> queueOrder(long nowMillis) {
-    return Comparator.<PlanView.PendingStep>comparingInt(
-            pending -> !pending.guaranteed() && isExpired(pending, nowMillis) ? 1 : 0)
-        .thenComparingInt(PlanView.PendingStep::priority)
-        .thenComparing(pending -> pending.guaranteed() ? 0 : 1)
-        .thenComparing(pending -> pending.usefulness(nowMillis))
-        .thenComparingLong(PlanView.PendingStep::acceleratorMillis)
-        .thenComparing(pending -> pending.step().toString());
-  }
-
-  private static boolean isExpired(PlanView.PendingStep pending, long nowMillis) {
-    return pending.usefulness(nowMillis) == PlanView.Usefulness.NONE;
+    order = QueueOrder.of(settings.policy());
   }
 
   @Override
@@ -71,7 +53,7 @@
       victimSelector = new VictimSelector(view.runningTasks());
       earliestStart = new EarliestStart(view.runningTasks());
       queue = new ArrayList<>(view.pendingSteps());
-      queue.sort(queueOrder(view.nowMillis()));
+      queue.sort(order.comparator(view));
       claims = new ClaimTable(ledger, view.claims(), queue);
     }
 
@@ -226,7 +208,7 @@
 
     private boolean mayPreempt(PlanView.PendingStep pending) {
       return pending.priority() == 0
-          && (pending.guaranteed() || !isExpired(pending, view.nowMillis()));
+          && (pending.guaranteed() || !pending.isExpired(view.nowMillis()));
     }
 
     /**
@@ -237,7 +219,7 @@
         PlanView.PendingStep pending, List<List<CapacityLedger.Entry>> groups, int members) {
       long need = members * pending.spec().reserved().accelerators();
       if (isMostlyIdle()
-          || isExpired(pending, view.nowMillis())
+          || pending.isExpired(view.nowMillis())
           || heldAccelerators + need > settings.maxHeldFraction() * ledger.totalAccelerators()) {
         return;
       }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
@@ -19,6 +19,8 @@
  * @param runningTasks running tasks that may be preempted
  * @param urgentReserve accelerators to keep available without loss for urgent work expected soon
  * @param claims capacity that earlier passes are freeing for pending steps
+ * @param organisations guarantee and use of each organisation with pending or running tasks, by
+ *     name
  */
 public record PlanView(
     long nowMillis,
@@ -26,13 +28,49 @@
     List<PendingStep> pendingSteps,
     List<RunningTask> runningTasks,
     long urgentReserve,
-    List<CapacityClaim> claims) {
-  /** Copies the lists. */
+    List<CapacityClaim> claims,
+    Map<String, OrganisationShare> organisations) {
+  /** Copies the collections. */
   public PlanView {
     workers = List.copyOf(workers);
     pendingSteps = List.copyOf(pendingSteps);
     runningTasks = List.copyOf(runningTasks);
     claims = List.copyOf(claims);
+    organisations = Map.copyOf(organisations);
+  }
+
+  /** Creates a view without organisations. */
+  public PlanView(
+      long nowMillis,
+      List<WorkerView> workers,
+      List<PendingStep> pendingSteps,
+      List<RunningTask> runningTasks,
+      long urgentReserve,
+      List<CapacityClaim> claims) {
+    this(nowMillis, workers, pendingSteps, runningTasks, urgentReserve, claims, Map.of());
+  }
+
+  /**
+   * What an organisation is guaranteed and what it uses.
+   *
+   * @param guaranteedAccelerators accelerators guaranteed to it
+   * @param acceleratorsInUse accelerators that its tasks hold
+   */
+  public record OrganisationShare(long guaranteedAccelerators, long acceleratorsInUse) {
+    /** No guarantee and no use. */
+    public static final OrganisationShare NONE = new OrganisationShare(0, 0);
+  }
+
+  /**
+   * The job that a pending step belongs to.
+   *
+   * @param organisation the organisation that submitted it, empty if unknown
+   * @param coreSeconds core-seconds that all its tasks are expected to use, with accelerators at
+   *     their price in cores
+   */
+  public record JobView(String organisation, double coreSeconds) {
+    /** A job of an unknown organisation and size. */
+    public static final JobView UNKNOWN = new JobView("", 0);
   }
 
   /**
@@ -115,6 +153,7 @@
    * @param remainingMillis expected time from the start of this step to the end of the job
    * @param excludedWorkers workers on which tasks of the step have failed
    * @param suspects the waiting tasks under which workers have crashed
+   * @param job the job that the step belongs to
    */
   public record PendingStep(
       StepId step,
@@ -129,13 +168,46 @@
       long durationMillis,
       long remainingMillis,
       Set<WorkerId> excludedWorkers,
-      Suspects suspects) {
+      Suspects suspects,
+      JobView job) {
     /** Copies the collections. */
     public PendingStep {
       tasks = List.copyOf(tasks);
       excludedWorkers = Set.copyOf(excludedWorkers);
     }
 
+    /** Creates a step of a job of unknown organisation and size. */
+    public PendingStep(
+        StepId step,
+        StepSpec spec,
+        String service,
+        List<Integer> tasks,
+        int priority,
+        boolean guaranteed,
+        long waitingSinceMillis,
+        long objectiveMillis,
+        long expiryMillis,
+        long durationMillis,
+        long remainingMillis,
+        Set<WorkerId> excludedWorkers,
+        Suspects suspects) {
+      this(
+          step,
+          spec,
+          service,
+          tasks,
+          priority,
+          guaranteed,
+          waitingSinceMillis,
+          objectiveMillis,
+          expiryMillis,
+          durationMillis,
+          remainingMillis,
+          excludedWorkers,
+          suspects,
+          JobView.UNKNOWN);
+    }
+
     /**
      * Returns how useful the completion of the job is if the step starts at the given time.
      *
@@ -149,6 +221,15 @@
       return endMillis <= expiryMillis ? Usefulness.LATE : Usefulness.NONE;
     }
 
+    /**
+     * Returns whether the completion of the job is of no use if the step starts at the given time.
+     *
+     * @param startMillis steady time
+     */
+    public boolean isExpired(long startMillis) {
+      return usefulness(startMillis) == Usefulness.NONE;
+    }
+
     /**
      * Returns the accelerator time, in milliseconds, that the waiting tasks are expected to use.
      */
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/PlanFixtures.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/PlanFixtures.java
@@ -112,7 +112,8 @@
         pending.durationMillis(),
         pending.remainingMillis(),
         pending.excludedWorkers(),
-        pending.suspects());
+        pending.suspects(),
+        pending.job());
   }
 
   static PendingStep waitingSince(PendingStep pending, long waitingSinceMillis) {
@@ -138,7 +139,41 @@
         durationMillis,
         durationMillis,
         pending.excludedWorkers(),
-        pending.suspects());
+        pending.suspects(),
+        pending.job());
+  }
+
+  /** Returns a copy of a step with other waiting tasks. */
+  static PendingStep withTasks(PendingStep pending, List<Integer> tasks) {
+    return copy(pending, tasks, pending.job());
+  }
+
+  /** Returns a copy of a step that belongs to a job of an organisation. */
+  static PendingStep ofOrganisation(PendingStep pending, String organisation) {
+    double coreSeconds =
+        pending.tasks().size()
+            * pending.spec().reserved().pricedCores()
+            * pending.durationMillis()
+            / 1_000;
+    return copy(pending, pending.tasks(), new PlanView.JobView(organisation, coreSeconds));
+  }
+
+  private static PendingStep copy(PendingStep pending, List<Integer> tasks, PlanView.JobView job) {
+    return new PendingStep(
+        pending.step(),
+        pending.spec(),
+        pending.service(),
+        tasks,
+        pending.priority(),
+        pending.guaranteed(),
+        pending.waitingSinceMillis(),
+        pending.objectiveMillis(),
+        pending.expiryMillis(),
+        pending.durationMillis(),
+        pending.remainingMillis(),
+        pending.excludedWorkers(),
+        pending.suspects(),
+        job);
   }
 
   /** Returns an urgent copy of a run. */
