Limit the work of workers by their conduct where the feature asks for it

The quarantine after failures in a row and the length of a poll's pause move out of Dispatcher and WorkerManager and stay as they are without the feature.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/WorkerConduct.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/WorkerConduct.java
@@ -82,6 +82,16 @@
     };
   }
 
+  /**
+   * Returns what a later planner needs to know.
+   *
+   * @param wallMinusSteady difference between the wall clock and the steady clock
+   */
+  public SavedConduct toSaved(long wallMinusSteady) {
+    long untilWall = state == ConductState.QUARANTINED ? untilMillis + wallMinusSteady : 0;
+    return level == 0 ? SavedConduct.NONE : new SavedConduct(level, untilWall);
+  }
+
   /** Returns whether there is evidence against the worker, or it was quarantined for some. */
   boolean isSuspect(long nowMillis) {
     return state == ConductState.QUARANTINED
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -49,6 +49,7 @@
   private long retryStopMillis;
   private int percent;
   private long progressChangedMillis;
+  private long progressSeenMillis;
   private String checkpoint = "";
   private long checkpointMillis;
 
@@ -61,6 +62,7 @@
     stateSinceMillis = nowMillis;
     checkpointMillis = nowMillis;
     progressChangedMillis = nowMillis;
+    progressSeenMillis = nowMillis;
   }
 
   Key key() {
@@ -206,7 +208,13 @@
     return progressChangedMillis;
   }
 
+  /** Returns the steady time at which the worker last reported the progress. */
+  long progressSeenMillis() {
+    return progressSeenMillis;
+  }
+
   void onProgress(int nextPercent, String nextCheckpoint, long nowMillis) {
+    progressSeenMillis = nowMillis;
     if (nextPercent != percent) {
       percent = nextPercent;
       progressChangedMillis = nowMillis;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.StepId;
@@ -66,11 +67,6 @@
    */
   private static final long MAX_WORKER_LIST_AGE_MILLIS = 3_000;
 
-  /** Consecutive failures after which a worker gets no new work for a while. */
-  private static final int QUARANTINE_AFTER_FAILURES = 2;
-
-  private static final long QUARANTINE_MILLIS = 4_000;
-
   private final Term term;
   private final DispatchSettings settings;
   private final Time time;
@@ -80,7 +76,8 @@
   private final WorkerManager workerManager;
   private final WorkerRecords workerRecords;
   private final DurationEstimator durationEstimator = new DurationEstimator();
-  private final RackSpeeds rackSpeeds = new RackSpeeds();
+  private final SpeedEstimates speeds;
+  private final WorkerHealth health;
   private final PlanViewBuilder viewBuilder;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<StepId, CapacityClaim> claims = new HashMap<>();
@@ -140,10 +137,17 @@
     dispatchEvents = new DispatchEvents(ports.events(), time, term, durationEstimator);
     placer = ports.placer();
     closureBound = new ClosureBound(settings.policy().closureMillis());
+    boolean conduct = settings.policy().has(Feature.WORKER_CONDUCT);
+    speeds = new SpeedEstimates(conduct, durationEstimator);
+    health =
+        conduct
+            ? new ConductHealth(
+                time, ports.events(), jobs, durationEstimator, inherited, this::storeConduct)
+            : new FailureQuarantine(time);
     viewBuilder =
         new PlanViewBuilder(
             durationEstimator,
-            rackSpeeds,
+            speeds,
             settings.stopMillis() + PlanSettings.START_MARGIN_MILLIS,
             settings.policy());
     journal =
@@ -239,7 +243,9 @@
    */
   public void onWorkerListed(WorkerInfo info) {
     workerManager.onListed(info);
-    workerRecords.updateIfStored(workerManager.getOrCreate(info.id()));
+    WorkerState workerState = workerManager.getOrCreate(info.id());
+    health.onListed(workerState);
+    workerRecords.updateIfStored(workerState);
     passNeeded = true;
   }
 
@@ -295,6 +301,7 @@
       return;
     }
     workerManager.tick();
+    health.review(workerManager.workers());
     long now = time.steadyMillis();
     workerRecords.prune(id -> workerManager.find(id) != null, now);
     long interval =
@@ -500,9 +507,10 @@
     if (!current) {
       return;
     }
-    updateHealth(workerState, end);
+    health.onRunEnded(workerState, attempt, end);
     if (end == RunEnd.DONE && attempt.state() == Attempt.State.RUNNING) {
-      recordDuration(job, step, workerState, time.steadyMillis() - attempt.stateSinceMillis());
+      long tookMillis = time.steadyMillis() - attempt.stateSinceMillis();
+      speeds.addRun(job.submission(), step.spec(), workerState, tookMillis);
     }
     if (step.spec().gang() && end != RunEnd.DONE) {
       stopStep(step, attempt.key().run());
@@ -527,22 +535,14 @@
         : job.endRun(key.task(), key.run(), worker, end, checkpoint);
   }
 
-  private void recordDuration(
-      Job job, StepProgress step, WorkerState workerState, long tookMillis) {
-    long expected = durationEstimator.taskMillis(job.submission(), step.spec());
-    durationEstimator.addObservation(job.submission(), step.spec(), tookMillis);
-    if (workerState.isListed()) {
-      rackSpeeds.addObservation(workerState.info().rack(), expected, tookMillis);
-    }
+  @Override
+  public WorkerHealth health() {
+    return health;
   }
 
-  private void updateHealth(WorkerState workerState, RunEnd end) {
-    if (end == RunEnd.DONE) {
-      workerState.resetFailures();
-    } else if (end == RunEnd.FAILED) {
-      boolean failedRepeatedly = workerState.consecutiveFailures() + 1 >= QUARANTINE_AFTER_FAILURES;
-      workerState.quarantine(failedRepeatedly ? time.steadyMillis() + QUARANTINE_MILLIS : 0);
-    }
+  private void storeConduct(WorkerState workerState) {
+    workerRecords.updateConduct(workerState);
+    passNeeded = true;
   }
 
   @Override
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -9,9 +9,11 @@
 import java.util.Map;
 import java.util.Set;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.PolicySettings;
+import org.peridotroute.scheduler.model.StepId;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.place.AllowedRegions;
@@ -30,7 +32,7 @@
   private static final long EXPIRY_FACTOR = 3;
 
   private final DurationEstimator durationEstimator;
-  private final RackSpeeds rackSpeeds;
+  private final SpeedEstimates speeds;
   private final long maxStopMillis;
   private final PolicySettings policy;
   private final UrgentDemand urgentDemand = new UrgentDemand();
@@ -44,13 +46,13 @@
    */
   PlanViewBuilder(
       DurationEstimator durationEstimator,
-      RackSpeeds rackSpeeds,
+      SpeedEstimates speeds,
       long maxStopMillis,
       PolicySettings policy) {
     this.policy = policy;
     this.maxStopMillis = maxStopMillis;
     this.durationEstimator = durationEstimator;
-    this.rackSpeeds = rackSpeeds;
+    this.speeds = speeds;
   }
 
   PlanView build(
@@ -71,11 +73,12 @@
     suspectWaits.endPass();
     List<PlanView.WorkerView> workers = new ArrayList<>();
     List<PlanView.RunningTask> runningTasks = new ArrayList<>();
+    Map<StepId, Map<WorkerId, String>> racksByStep = speeds.racksByStep(workerStates);
     for (WorkerState workerState : workerStates) {
       if (workerState.info() != null && workerState.isUsable(nowMillis)) {
         workers.add(workerView(workerState, jobsById, nowMillis));
       }
-      addRunningTasks(runningTasks, workerState, jobsById, guaranteed, nowMillis);
+      addRunningTasks(runningTasks, workerState, jobsById, guaranteed, racksByStep, nowMillis);
     }
     long urgentReserve =
         urgentDemand.updateHeadroom(
@@ -219,6 +222,10 @@
     return accelerators;
   }
 
+  private static Capacity limit(WorkerState workerState, Capacity free) {
+    return workerState.restraint().limit(free, workerState.info().capacity());
+  }
+
   private PlanView.WorkerView workerView(
       WorkerState workerState, Map<JobId, Job> jobsById, long nowMillis) {
     return new PlanView.WorkerView(
@@ -227,13 +234,13 @@
         workerState.info().rack(),
         Set.copyOf(workerState.info().labels()),
         workerState.info().capacity(),
-        workerState.free(),
-        workerState.freeAfterStops(nowMillis, maxStopMillis),
+        limit(workerState, workerState.free()),
+        limit(workerState, workerState.freeAfterStops(nowMillis, maxStopMillis)),
         workerState.tasksByStep(),
         preemptibleAccelerators(workerState, jobsById),
-        workerState.consecutiveFailures(),
+        workerState.restraint().consecutiveFailures(),
         workerState.isolatedFor(nowMillis),
-        rackSpeeds.slowdown(workerState.info().rack())
+        speeds.slowdown(workerState)
             * (workerState.info().coldMillis() > 0 ? policy.coldFactor() : 1));
   }
 
@@ -242,6 +249,7 @@
       WorkerState workerState,
       Map<JobId, Job> jobsById,
       Set<JobId> guaranteed,
+      Map<StepId, Map<WorkerId, String>> racksByStep,
       long nowMillis) {
     for (Attempt attempt : workerState.attempts()) {
       Job job = jobsById.get(attempt.key().task().job());
@@ -268,7 +276,11 @@
               spec.gang(),
               attempt.unsavedMillis(spec.checkpoints(), nowMillis),
               attempt.remainingMillis(
-                  durationEstimator.taskMillis(job.submission(), spec), nowMillis)));
+                  speeds.expectedMillis(
+                      durationEstimator.taskMillis(job.submission(), spec),
+                      workerState,
+                      spec.gang() ? racksByStep.get(attempt.key().task().step()) : null),
+                  nowMillis)));
     }
   }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunCalls.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunCalls.java
@@ -12,9 +12,6 @@
 
 /** Sends starts and stops to workers and interprets the replies. Confined to the control thread. */
 final class RunCalls {
-  /** Time for which a worker that refused a start gets no new work. */
-  private static final long REFUSAL_QUARANTINE_MILLIS = 1_500;
-
   private final WorkerManager manager;
   private final WorkerGateway gateway;
   private final DispatchSettings settings;
@@ -180,7 +177,7 @@
       // The first call may have started the run, or may still do so.
       stopUncertain(worker, attempt);
     } else {
-      worker.quarantine(time.steadyMillis() + REFUSAL_QUARANTINE_MILLIS);
+      listener.health().onStartRefused(worker);
       manager.endAttempt(worker, attempt, RunEnd.STOPPED, "", "start refused: " + outcome);
     }
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -33,9 +33,6 @@
   /** Delay before a failed call is retried. */
   static final long RETRY_MILLIS = 300;
 
-  /** Time between polls while ends that a worker reported are not on the log yet. */
-  private static final long UNSTORED_POLL_MILLIS = 1_000;
-
   /** Called by the manager on the control thread. */
   interface Listener {
     /**
@@ -63,6 +60,9 @@
     /** Called when a worker has seen a greater fencing token. */
     void onFenced(WorkerId by);
 
+    /** Returns what limits the new work of workers. */
+    WorkerHealth health();
+
     /** Called when free capacity or the known state of a worker has changed. */
     void onChanged();
   }
@@ -76,7 +76,7 @@
   private final Listener listener;
   private final Map<WorkerId, WorkerState> workers = new TreeMap<>();
   private final RunCalls runCalls;
-  private final WorkerSilences silences = new WorkerSilences();
+  private final WorkerSilences silences;
   private final long inheritedLeasesExpireMillis;
   private Closures closures = Closures.UNKNOWN;
   private long lastSequence;
@@ -97,6 +97,7 @@
     this.time = time;
     this.events = events;
     this.listener = listener;
+    silences = new WorkerSilences(listener);
     runCalls = new RunCalls(this, gateway, settings, term, control, time, events, listener);
     inheritedLeasesExpireMillis =
         time.steadyMillis() + settings.maxUnconfirmedMillis() + settings.leaseExpiryMillis();
@@ -268,27 +269,18 @@
     boolean mayHold = worker.hasSeenToken() && worker.lastSeenEnd() == worker.lastStoredEnd();
     long waitMillis = mayHold && worker.unansweredCalls() == 0 ? settings.pollWaitMillis() : 0;
     long sequence = nextSequence();
-    worker.onPollSent(sequence);
+    worker.onPollSent();
     Replies.deliver(
         sendPoll(worker, now, waitMillis),
         control,
         reply -> {
           if (!closed) {
-            worker.onPollReturned(nextPollMillis(worker, reply));
+            worker.onPollReturned(reply, time.steadyMillis());
             onPollReply(worker, reply, sequence);
           }
         });
   }
 
-  private long nextPollMillis(WorkerState worker, PollReply reply) {
-    long now = time.steadyMillis();
-    if (reply.outcome() != CallOutcome.DONE) {
-      return now + RETRY_MILLIS;
-    }
-    boolean unstored = !reply.ended().isEmpty() || worker.lastSeenEnd() > worker.lastStoredEnd();
-    return unstored ? now + UNSTORED_POLL_MILLIS : now;
-  }
-
   /**
    * Sends a poll besides the one in flight, which the worker may hold, so that the state of a run
    * is known soon.
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerRecord.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerRecord.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.conduct.SavedConduct;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.port.KeyedRecord;
@@ -16,8 +17,10 @@
  * @param address host and port that it listens on
  * @param startedAtMillis start of its incarnation on the worker's wall clock, 0 if unknown
  * @param draining whether it had announced that it leaves
+ * @param conduct its quarantines
  */
-public record WorkerRecord(WorkerId id, String address, long startedAtMillis, boolean draining) {
+public record WorkerRecord(
+    WorkerId id, String address, long startedAtMillis, boolean draining, SavedConduct conduct) {
   private static final String KEY_PREFIX = "!worker/";
   private static final String SEPARATOR = " ";
   private static final int FIELD_COUNT = 3;
@@ -28,13 +31,17 @@
         worker.id(),
         worker.info().address(),
         Math.max(0, worker.startedAtMillis()),
-        worker.info().draining());
+        worker.info().draining(),
+        worker.restraint().saved());
   }
 
   /** Returns the record to store. */
   KeyedRecord toRecord() {
     String text =
         String.join(SEPARATOR, address, Long.toString(startedAtMillis), Boolean.toString(draining));
+    if (!conduct.equals(SavedConduct.NONE)) {
+      text += SEPARATOR + conduct.toText();
+    }
     return KeyedRecord.of(KEY_PREFIX + id, text.getBytes(StandardCharsets.UTF_8));
   }
 
@@ -68,9 +75,14 @@
       return Optional.empty();
     }
     try {
+      // A conduct that cannot be read must not lose the address.
+      SavedConduct conduct =
+          fields.length > FIELD_COUNT
+              ? SavedConduct.read(fields[FIELD_COUNT]).orElse(SavedConduct.NONE)
+              : SavedConduct.NONE;
       return Optional.of(
           new WorkerRecord(
-              id, fields[0], Long.parseLong(fields[1]), Boolean.parseBoolean(fields[2])));
+              id, fields[0], Long.parseLong(fields[1]), Boolean.parseBoolean(fields[2]), conduct));
     } catch (NumberFormatException e) {
       return Optional.empty();
     }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerRecords.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerRecords.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.conduct.SavedConduct;
 import org.peridotroute.scheduler.port.KeyedRecord;
 
 /**
@@ -40,6 +41,15 @@
     }
   }
 
+  /** Stores the conduct of a worker if a later planner needs to know it. */
+  void updateConduct(WorkerState worker) {
+    if (worker.restraint().saved().equals(SavedConduct.NONE)) {
+      updateIfStored(worker);
+    } else {
+      update(worker);
+    }
+  }
+
   /** Updates the record of a worker that has one. */
   void updateIfStored(WorkerState worker) {
     if (worker.hasInfo() && stored.containsKey(worker.id())) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerSilences.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerSilences.java
@@ -29,12 +29,19 @@
   private record Silence(long sinceMillis, Set<JobId> jobs, boolean explained) {}
 
   private final Map<WorkerId, Silence> silences = new HashMap<>();
+  private final WorkerManager.Listener listener;
+
+  WorkerSilences(WorkerManager.Listener listener) {
+    this.listener = listener;
+  }
 
   /** Records that a worker has stopped replying. */
   void begin(WorkerState worker, long nowMillis) {
     silences.values().removeIf(silence -> nowMillis - silence.sinceMillis() > KEPT_MILLIS);
-    silences.putIfAbsent(
-        worker.id(), new Silence(nowMillis, jobs(worker), hasLikelyCause(worker, nowMillis)));
+    Silence latest = new Silence(nowMillis, jobs(worker), hasLikelyCause(worker, nowMillis));
+    if (silences.putIfAbsent(worker.id(), latest) == null) {
+      listener.health().onSilence(worker);
+    }
   }
 
   private static boolean hasLikelyCause(WorkerState worker, long nowMillis) {
@@ -48,7 +55,9 @@
 
   /** Forgets the silence of a worker that replies again. */
   void end(WorkerState worker) {
-    silences.remove(worker.id());
+    if (silences.remove(worker.id()) != null) {
+      listener.health().onRegained(worker);
+    }
   }
 
   /**
@@ -58,6 +67,7 @@
    */
   void markCrashed(WorkerState worker, int workerCount, long nowMillis) {
     begin(worker, nowMillis);
+    listener.health().onCrashed(worker);
     long sinceMillis = silences.get(worker.id()).sinceMillis();
     Set<JobId> jobs = jobs(worker);
     double minShared = Math.max(MIN_SHARED_FAILURE, MIN_SHARED_FAILURE_SHARE * workerCount);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -10,6 +10,8 @@
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.StepId;
 import org.peridotroute.scheduler.model.WorkerInfo;
+import org.peridotroute.scheduler.port.WorkerGateway.CallOutcome;
+import org.peridotroute.scheduler.port.WorkerGateway.PollReply;
 import org.peridotroute.scheduler.port.WorkerGateway.Target;
 
 /** State of one worker as known to the planner during one term. */
@@ -22,6 +24,9 @@
    */
   private static final long MIN_CLOCK_JUMP_MILLIS = 1_500;
 
+  /** Time between polls while ends that a worker reported are not on the log yet. */
+  private static final long UNSTORED_POLL_MILLIS = 1_000;
+
   private final WorkerId id;
   private final Map<Attempt.Key, Attempt> attemptsByKey = new LinkedHashMap<>();
   private WorkerInfo info;
@@ -34,13 +39,11 @@
   private long lastStoredEnd;
   private long acknowledgedEnd;
   private long leasesExpireMillis;
-  private long pollSequence;
   private boolean pollInFlight;
   private int unansweredCalls;
   private long lastReplyMillis = Long.MIN_VALUE;
   private long nextPollMillis;
-  private long quarantinedUntilMillis;
-  private int consecutiveFailures;
+  private final Restraint restraint = new Restraint();
   private boolean inClosedDataCentre;
   private long inheritedStartMillis;
   private long announcedEndMillis = Long.MAX_VALUE;
@@ -70,6 +73,7 @@
   /** Adopts what an earlier planner knew of the worker, until the worker is listed. */
   void inherit(WorkerRecord record) {
     inheritedStartMillis = record.startedAtMillis();
+    restraint.save(record.conduct());
     if (info == null) {
       info = record.toInfo();
     }
@@ -126,7 +130,7 @@
         && tokenSeen
         && !info.draining()
         && unansweredCalls == 0
-        && nowMillis >= quarantinedUntilMillis;
+        && restraint.permits(nowMillis);
   }
 
   /** Sets whether the data centre of the worker is closed for new work. */
@@ -259,15 +263,16 @@
     return pollInFlight;
   }
 
-  void onPollSent(long sequence) {
+  void onPollSent() {
     pollInFlight = true;
-    pollSequence = sequence;
   }
 
-  long onPollReturned(long nextMillis) {
+  void onPollReturned(PollReply reply, long nowMillis) {
     pollInFlight = false;
-    nextPollMillis = nextMillis;
-    return pollSequence;
+    boolean failed = reply.outcome() != CallOutcome.DONE;
+    boolean unstored = !reply.ended().isEmpty() || lastSeenEnd > lastStoredEnd;
+    long delay = failed ? WorkerManager.RETRY_MILLIS : unstored ? UNSTORED_POLL_MILLIS : 0;
+    nextPollMillis = nowMillis + delay;
   }
 
   boolean isPollDue(long nowMillis) {
@@ -278,18 +283,9 @@
     nextPollMillis = 0;
   }
 
-  /** Counts a failure and keeps new work off the worker until the given time. */
-  void quarantine(long untilMillis) {
-    consecutiveFailures++;
-    quarantinedUntilMillis = Math.max(quarantinedUntilMillis, untilMillis);
-  }
-
-  void resetFailures() {
-    consecutiveFailures = 0;
-  }
-
-  int consecutiveFailures() {
-    return consecutiveFailures;
+  /** Returns the limits of its new work. */
+  Restraint restraint() {
+    return restraint;
   }
 
   /** Returns whether the runs hold more than the worker has, which may have shrunk. */
