--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/RunFailures.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/RunFailures.java
@@ -36,6 +36,9 @@
   /** Jobs of which runs must have failed on a worker before it says little of a job. */
   private static final int MIN_QUESTIONABLE_JOBS = 2;
 
+  /** Share of failed runs from which a job is bad itself; a bad worker fails about half. */
+  private static final double BAD_JOB_SHARE = 0.7;
+
   private record Run(
       WorkerId worker, String queue, String job, String task, boolean failed, long atMillis) {}
 
@@ -58,6 +61,11 @@
       }
     }
 
+    /** Returns whether most runs fail wherever they are. */
+    boolean isBad() {
+      return failures >= BAD_JOB_SHARE * runs;
+    }
+
     /** Returns runs and failures on other workers than the given ones. */
     int[] elsewhere(WorkerId worker, Set<WorkerId> ignored) {
       int[] sum = {runs, failures};
@@ -122,14 +130,21 @@
   }
 
   /**
-   * Determines on which workers runs of several jobs have failed. What fails there says little of
-   * the job, so it does not clear other workers, such as those of the same bad rack.
+   * Determines on which workers runs of several jobs have failed that are not bad themselves. What
+   * fails there says little of the job, so it does not clear other workers, such as those of the
+   * same bad rack.
    */
   void beginReview() {
     questionable.clear();
     runsByWorker.forEach(
         (worker, runs) -> {
-          long failedJobs = runs.stream().filter(Run::failed).map(Run::job).distinct().count();
+          long failedJobs =
+              runs.stream()
+                  .filter(Run::failed)
+                  .map(Run::job)
+                  .distinct()
+                  .filter(job -> !jobs.get(job).isBad())
+                  .count();
           if (failedJobs >= MIN_QUESTIONABLE_JOBS) {
             questionable.add(worker);
           }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/RunProgress.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/RunProgress.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Function;
 import org.peridotroute.lib.WorkerId;
 
 /**
@@ -21,6 +22,9 @@
   /** Other workers with runs of the queue without which a speed cannot be judged. */
   private static final int MIN_PEERS = 4;
 
+  /** Other workers with runs of the job that show how long its tasks are. */
+  private static final int MIN_JOB_PEERS = 2;
+
   /** Age up to which a measured speed counts as simultaneous; polls are up to 1.5 s apart. */
   private static final long MAX_AGE_MILLIS = 2_000;
 
@@ -60,17 +64,23 @@
 
   private static final class Mark {
     private final String queue;
+    private final String job;
     private final WorkerId worker;
     private int percent;
     private long seenMillis;
-    private double logSpeed;
-    private double pendingLogSpeed;
+    private long expectedMillis;
+
+    /** Logarithm of the completed share of the run per millisecond. */
+    private double logRate;
+
+    private double pendingLogRate;
     private long pendingSinceMillis = NOTHING_PENDING;
     private long measuredMillis = Long.MIN_VALUE;
     private Verdict verdict = Verdict.NONE;
 
     Mark(ProgressSample sample) {
       queue = sample.queue();
+      job = sample.job();
       worker = sample.worker();
       percent = sample.percent();
       seenMillis = sample.seenMillis();
@@ -78,21 +88,30 @@
 
     /** Measures the speed since the last measurement, if enough time has passed. */
     void measure(ProgressSample sample) {
+      expectedMillis = sample.expectedMillis();
       long span = sample.seenMillis() - seenMillis;
       if (span < MIN_SPAN_MILLIS || span < MIN_SPAN_SHARE * sample.expectedMillis()) {
         return;
       }
       double progress = Math.max(MIN_PROGRESS_PERCENT, sample.percent() - percent);
-      logSpeed = Math.log(progress * sample.expectedMillis() / (COMPLETE_PERCENT * span));
+      logRate = Math.log(progress / (COMPLETE_PERCENT * span));
       percent = sample.percent();
       seenMillis = sample.seenMillis();
       measuredMillis = sample.seenMillis();
       if (pendingSinceMillis == NOTHING_PENDING) {
-        pendingLogSpeed = logSpeed;
+        pendingLogRate = logRate;
         pendingSinceMillis = measuredMillis;
       }
     }
 
+    /**
+     * Returns the logarithm of a speed relative to the expected one. The expectation is that of now
+     * for all runs, because it changes fast while a planner knows little.
+     */
+    double logSpeed(double rate) {
+      return rate + Math.log((double) expectedMillis);
+    }
+
     boolean isDue(long nowMillis) {
       return pendingSinceMillis != NOTHING_PENDING
           && nowMillis - pendingSinceMillis >= JUDGEMENT_DELAY_MILLIS;
@@ -130,42 +149,48 @@
     if (due.isEmpty()) {
       return weights;
     }
-    Map<String, PeerSpeeds> peersByQueue = peerSpeeds(nowMillis);
+    Map<String, PeerSpeeds> byQueue = peerSpeeds(mark -> mark.queue, nowMillis);
+    Map<String, PeerSpeeds> byJob = peerSpeeds(mark -> mark.job, nowMillis);
     for (Mark mark : due) {
       mark.pendingSinceMillis = NOTHING_PENDING;
-      PeerSpeeds peers = peersByQueue.getOrDefault(mark.queue, PeerSpeeds.NONE);
-      peers
-          .medianWithout(mark.worker)
-          .ifPresent(
-              median ->
-                  judge(mark, median).ifPresent(w -> weights.merge(mark.worker, w, Double::sum)));
+      OptionalDouble ofQueue =
+          byQueue.getOrDefault(mark.queue, PeerSpeeds.NONE).medianWithout(mark.worker, MIN_PEERS);
+      OptionalDouble ofJob =
+          byJob.getOrDefault(mark.job, PeerSpeeds.NONE).medianWithout(mark.worker, MIN_JOB_PEERS);
+      if (ofQueue.isPresent()) {
+        judge(mark, ofQueue.getAsDouble(), ofJob)
+            .ifPresent(weight -> weights.merge(mark.worker, weight, Double::sum));
+      }
     }
     return weights;
   }
 
-  private Map<String, PeerSpeeds> peerSpeeds(long nowMillis) {
+  private Map<String, PeerSpeeds> peerSpeeds(Function<Mark, String> group, long nowMillis) {
     Map<String, Map<WorkerId, List<Double>>> speeds = new HashMap<>();
     for (Mark mark : marks.values()) {
       if (mark.isRecent(nowMillis)) {
         speeds
-            .computeIfAbsent(mark.queue, key -> new HashMap<>())
+            .computeIfAbsent(group.apply(mark), key -> new HashMap<>())
             .computeIfAbsent(mark.worker, key -> new ArrayList<>())
-            .add(mark.logSpeed);
+            .add(mark.logSpeed(mark.logRate));
       }
     }
     Map<String, PeerSpeeds> peers = new HashMap<>();
-    speeds.forEach((queue, byWorker) -> peers.put(queue, PeerSpeeds.of(byWorker)));
+    speeds.forEach((name, byWorker) -> peers.put(name, PeerSpeeds.of(byWorker)));
     return peers;
   }
 
-  private static OptionalDouble judge(Mark mark, double peerLogSpeed) {
-    boolean slow = mark.pendingLogSpeed < peerLogSpeed + Math.log(SLOW_SHARE);
+  private OptionalDouble judge(Mark mark, double peerLogSpeed, OptionalDouble jobLogSpeed) {
+    double slowest = Math.min(peerLogSpeed, jobLogSpeed.orElse(peerLogSpeed));
+    boolean slow = mark.logSpeed(mark.pendingLogRate) < slowest + Math.log(SLOW_SHARE);
     if (peerLogSpeed < Math.log(MIN_PEER_SPEED)) {
       return OptionalDouble.empty();
     }
     if (slow && mark.verdict != Verdict.SLOW) {
+      // Without peers of the same job, its tasks may simply be long, which counts once.
+      boolean counted = jobLogSpeed.isEmpty() && hasSlowSibling(mark);
       mark.verdict = Verdict.SLOW;
-      return OptionalDouble.of(SLOW_WEIGHT);
+      return counted ? OptionalDouble.empty() : OptionalDouble.of(SLOW_WEIGHT);
     }
     if (!slow && mark.verdict == Verdict.NONE) {
       // Each run speaks for its worker once, or a long run would excuse all others.
@@ -175,7 +200,16 @@
     return OptionalDouble.empty();
   }
 
-  /** Median speeds of the workers that run one queue. */
+  private boolean hasSlowSibling(Mark mark) {
+    return marks.values().stream()
+        .anyMatch(
+            other ->
+                other.verdict == Verdict.SLOW
+                    && other.worker.equals(mark.worker)
+                    && other.job.equals(mark.job));
+  }
+
+  /** Median speeds of the workers that run one queue or job. */
   private record PeerSpeeds(Map<WorkerId, Double> byWorker, List<Double> sorted) {
     static final PeerSpeeds NONE = new PeerSpeeds(Map.of(), List.of());
 
@@ -190,9 +224,9 @@
     }
 
     /** Returns the median over the other workers, or empty if they are too few. */
-    OptionalDouble medianWithout(WorkerId worker) {
+    OptionalDouble medianWithout(WorkerId worker, int minPeers) {
       Double ownSpeed = byWorker.get(worker);
-      if (sorted.size() - 1 < MIN_PEERS) {
+      if (sorted.size() - 1 < minPeers) {
         return OptionalDouble.empty();
       }
       int own = ownSpeed == null ? sorted.size() : Collections.binarySearch(sorted, ownSpeed);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -36,6 +36,7 @@
   private final Key key;
   private final Capacity held;
   private final boolean current;
+  private final boolean startedHere;
   private State state;
   private boolean stopRequested;
   private long stopRequestedMillis;
@@ -58,6 +59,7 @@
     this.held = held;
     this.state = state;
     this.current = current;
+    startedHere = state == State.PLANNED;
     sentMillis = nowMillis;
     stateSinceMillis = nowMillis;
     checkpointMillis = nowMillis;
@@ -82,6 +84,11 @@
     return current;
   }
 
+  /** Returns whether this planner, not an earlier one, has planned the run. */
+  boolean isStartedHere() {
+    return startedHere;
+  }
+
   void moveTo(State next, long nowMillis) {
     state = next;
     stateSinceMillis = nowMillis;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/ConductHealth.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/ConductHealth.java
@@ -186,6 +186,7 @@
                 attempt.key(),
                 worker.id(),
                 job.submission().queue(),
+                attempt.key().task().job().toString(),
                 attempt.percent(),
                 attempt.progressSeenMillis(),
                 durationEstimator.taskMillis(job.submission(), step)));
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -509,8 +509,7 @@
     }
     health.onRunEnded(workerState, attempt, end);
     if (end == RunEnd.DONE && attempt.state() == Attempt.State.RUNNING) {
-      long tookMillis = time.steadyMillis() - attempt.stateSinceMillis();
-      speeds.addRun(job.submission(), step.spec(), workerState, tookMillis);
+      speeds.addRun(job.submission(), step.spec(), workerState, attempt, time.steadyMillis());
     }
     if (step.spec().gang() && end != RunEnd.DONE) {
       stopStep(step, attempt.key().run());
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/SpeedEstimates.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/SpeedEstimates.java
@@ -31,7 +31,13 @@
   }
 
   /** Adds the duration of a task that has run its whole length. */
-  void addRun(Submission submission, StepSpec step, WorkerState worker, long tookMillis) {
+  void addRun(
+      Submission submission, StepSpec step, WorkerState worker, Attempt attempt, long nowMillis) {
+    if (byWorker && !attempt.isStartedHere()) {
+      // Nobody here knows when an earlier planner has started it.
+      return;
+    }
+    long tookMillis = nowMillis - attempt.stateSinceMillis();
     long expectedMillis = durations.taskMillis(submission, step);
     durations.addObservation(submission, step, tookMillis);
     if (worker.isListed()) {
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -18,6 +18,7 @@
 import org.peridotroute.scheduler.dispatch.Dispatcher;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.JobRequest;
@@ -68,19 +69,7 @@
 
   private static final String CLOSURE_PREFIX = "closed/";
 
-  private static final DispatchSettings DISPATCH_SETTINGS =
-      new DispatchSettings(
-          10_000,
-          1_500,
-          800,
-          400,
-          10_000,
-          3_400,
-          900,
-          3,
-          1_500,
-          250_000,
-          new PolicySettings(Set.of(), CLOSURE_MILLIS, 1, 0, 1, Map.of()));
+  private static final DispatchSettings DISPATCH_SETTINGS = dispatchSettings(Set.of());
   private static final long CANCEL_MILLIS = 3_000;
   private static final long TICK_MILLIS = 50;
   private static final long POLL_MILLIS = 10;
@@ -92,6 +81,7 @@
   /** Time after a crash at which the platform drops the entry of the crashed worker. */
   private static final long UNLIST_MILLIS = 4_500;
 
+  private final Set<Feature> features;
   private final VirtualTime time = new VirtualTime();
   private final Random random;
   private final LogModel log = new LogModel();
@@ -105,6 +95,7 @@
   private final Set<JobId> cancelled = new HashSet<>();
   private final Events events;
   private final Map<TaskId, Long> crashAfterMillis = new HashMap<>();
+  private final Set<JobId> failingJobs = new HashSet<>();
   private double failingTaskShare;
   private boolean crashedWorkersKeepId;
   private int incarnationCount;
@@ -133,7 +124,7 @@
           SchedulerVmSettings.newBuilder()
               .setVm(name)
               .setIncarnation("life" + incarnationCount++)
-              .setDispatch(DISPATCH_SETTINGS)
+              .setDispatch(dispatchSettings(features))
               .setReadWaitMillis(1_500)
               .setHeartbeatWaitMillis(800)
               .setPlannerReadIntervalMillis(20)
@@ -221,7 +212,7 @@
     @Override
     public WorkerModel.Behaviour behaviour(TaskId task, int run) {
       StepSpec step = requests.get(task.job()).steps().get(task.step().step());
-      boolean fails = random.nextDouble() < failingTaskShare;
+      boolean fails = random.nextDouble() < failingTaskShare || failingJobs.contains(task.job());
       return new WorkerModel.Behaviour(
           step.reserved(),
           step.service() ? Long.MAX_VALUE : step.estimateMillis(),
@@ -230,6 +221,11 @@
           crashAfterMillis.getOrDefault(task, Long.MAX_VALUE));
     }
 
+    @Override
+    public boolean failsBy(WorkerFault fault) {
+      return fault.failingShare() > 0 && random.nextDouble() < fault.failingShare();
+    }
+
     @Override
     public void onCrash(WorkerModel worker) {
       crashWorker(new WorkerId(worker.id()));
@@ -269,6 +265,11 @@
     }
   }
 
+  /** Creates a cluster without optional features. */
+  public SimulatedCluster(long seed, int vmCount, int workerCount, Events events) {
+    this(seed, vmCount, workerCount, events, Set.of());
+  }
+
   /**
    * Creates a cluster and boots its VMs and workers.
    *
@@ -276,8 +277,11 @@
    * @param vmCount number of VMs, named vm-0, vm-1 and so on
    * @param workerCount number of workers
    * @param events receives the events of all VMs
+   * @param features optional features of the scheduler
    */
-  public SimulatedCluster(long seed, int vmCount, int workerCount, Events events) {
+  public SimulatedCluster(
+      long seed, int vmCount, int workerCount, Events events, Set<Feature> features) {
+    this.features = features;
     random = new Random(seed);
     this.events = events;
     workerGateway =
@@ -299,6 +303,21 @@
     advanceWorkers();
   }
 
+  private static DispatchSettings dispatchSettings(Set<Feature> features) {
+    return new DispatchSettings(
+        10_000,
+        1_500,
+        800,
+        400,
+        10_000,
+        3_400,
+        900,
+        3,
+        1_500,
+        250_000,
+        new PolicySettings(features, CLOSURE_MILLIS, 1, 0, 1, Map.of()));
+  }
+
   private void addWorker(WorkerId id, String dataCentre, String rack, String address) {
     workers.put(
         id,
@@ -363,6 +382,7 @@
     }
     double rate = random.nextBoolean() ? SLOW_CLOCK_RATE : 1;
     host.incarnation = new WorkerModel(id.value(), time, rate, new TaskEnvironment(), oracle);
+    host.incarnation.setFault(host.fault);
   }
 
   /**
@@ -447,6 +467,13 @@
     time.after(unlistMillis, () -> setListed(id, false));
   }
 
+  /** Sets the fault of a worker, which restarts do not mend. */
+  public void setFault(WorkerId id, WorkerFault fault) {
+    WorkerHost host = workers.get(id);
+    host.fault = fault;
+    host.incarnation.setFault(fault);
+  }
+
   /** Adds a worker to the list of workers, or removes it. */
   public void setListed(WorkerId id, boolean listed) {
     append(Topic.WORKERS, id.value(), listed ? new byte[] {1} : null);
@@ -504,6 +531,11 @@
     workerGateway.setLinkBytesPerSecond(DISPATCH_SETTINGS.linkBytesPerSecond());
   }
 
+  /** Makes all runs of a job fail. */
+  public void setFailing(JobId id) {
+    failingJobs.add(id);
+  }
+
   /** Sets the share of runs that fail. */
   public void setFailingTasks(double share) {
     failingTaskShare = share;
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
@@ -8,6 +8,9 @@
   WorkerModel incarnation;
   boolean disconnected;
 
+  /** Fault that outlives its incarnation. */
+  WorkerFault fault = WorkerFault.NONE;
+
   /** Whether another worker has taken over the address; it rejects calls meant for this one. */
   boolean replaced;
 
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
@@ -55,6 +55,9 @@
     /** Returns the behaviour of a run that is about to start. */
     Behaviour behaviour(TaskId task, int run);
 
+    /** Returns whether a run that is about to complete fails through a fault of its worker. */
+    boolean failsBy(WorkerFault fault);
+
     /** Returns how many members of a gang's run are running on any worker. */
     int countRunningMembers(TaskId task, int run);
 
@@ -102,6 +105,7 @@
   private long endCount;
   private long advancedToMillis;
   private boolean terminated;
+  private WorkerFault fault = WorkerFault.NONE;
 
   /**
    * Starts an incarnation without tasks.
@@ -162,6 +166,11 @@
     running.clear();
   }
 
+  /** Sets the fault of this incarnation. */
+  public void setFault(WorkerFault latest) {
+    fault = latest;
+  }
+
   /** Returns whether this incarnation has ended. */
   public boolean isTerminated() {
     return terminated;
@@ -188,9 +197,11 @@
       } else if (now >= run.stopAtMillis) {
         end(run, RunEnd.STOPPED);
       } else if (isComplete(run)) {
-        run.remainingMillis -= elapsedMillis;
+        run.remainingMillis -= Math.round(elapsedMillis * fault.speed());
         if (run.remainingMillis <= 0) {
-          end(run, run.behaviour.fails() ? RunEnd.FAILED : RunEnd.DONE);
+          end(
+              run,
+              run.behaviour.fails() || environment.failsBy(fault) ? RunEnd.FAILED : RunEnd.DONE);
         }
       }
     }
@@ -244,6 +255,9 @@
     if (request.leaseEndMillis() <= clockMillis()) {
       return reply(CallOutcome.EXPIRED);
     }
+    if (fault.refuses()) {
+      return reply(CallOutcome.UNHEALTHY);
+    }
     Behaviour behaviour = environment.behaviour(request.task(), request.run());
     Run started = new Run(request.task(), request.run(), behaviour, time.steadyMillis());
     running.put(request.task(), started);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/conduct/ConductBookTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/conduct/ConductBookTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.peridotroute.lib.WorkerId;
 
 /** Guards against work on bad workers, and against the quarantine of good ones. */
 final class ConductBookTest {
@@ -131,7 +132,9 @@
       int percent = (int) (done[run] % 100);
       Object key = run + "." + (int) (done[run] / 100);
       if (fleet.mayWork(worker)) {
-        samples.add(new ProgressSample(key, worker(worker), "queue", percent, fleet.now(), 7_000));
+        String job = "job-" + run / 30;
+        samples.add(
+            new ProgressSample(key, worker(worker), "queue", job, percent, fleet.now(), 7_000));
       }
     }
     return samples;
@@ -170,6 +173,27 @@
     assertThat(fleet.everQuarantined()).isEmpty();
   }
 
+  // The tasks of one job take four times as long as others of its queue, on all its workers.
+  @Test
+  void quarantinesNobodyForAJobWithLongTasks() {
+    double[] done = startedRuns(4 * SIZE);
+    for (int step = 0; step < 40; step++) {
+      List<ProgressSample> samples = progress(done, i -> false, 500, false);
+      for (int i = 0; i < 24; i++) {
+        WorkerId worker = worker(i / 4);
+        samples.add(
+            new ProgressSample("long" + i, worker, "queue", "long", step, fleet.now(), 7_000));
+      }
+      for (int i = 0; i < 5; i++) {
+        samples.add(
+            new ProgressSample(
+                "alone" + i, worker(20), "queue", "alone", step, fleet.now(), 7_000));
+      }
+      fleet.step(samples);
+    }
+    assertThat(fleet.everQuarantined()).isEmpty();
+  }
+
   // All workers are slow at once, as when their storage is.
   @Test
   void quarantinesNobodyWhenAllAreSlow() {
