--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -36,6 +36,7 @@
   private final Key key;
   private final Capacity held;
   private final boolean current;
+  private final boolean startedHere;
   private State state;
   private boolean stopRequested;
   private long stopRequestedMillis;
@@ -49,6 +50,7 @@
   private long retryStopMillis;
   private int percent;
   private long progressChangedMillis;
+  private long progressSeenMillis;
   private String checkpoint = "";
   private long checkpointMillis;
 
@@ -57,10 +59,12 @@
     this.held = held;
     this.state = state;
     this.current = current;
+    startedHere = state == State.PLANNED;
     sentMillis = nowMillis;
     stateSinceMillis = nowMillis;
     checkpointMillis = nowMillis;
     progressChangedMillis = nowMillis;
+    progressSeenMillis = nowMillis;
   }
 
   Key key() {
@@ -80,6 +84,11 @@
     return current;
   }
 
+  /** Returns whether this planner, not an earlier one, has planned the run. */
+  boolean isStartedHere() {
+    return startedHere;
+  }
+
   void moveTo(State next, long nowMillis) {
     state = next;
     stateSinceMillis = nowMillis;
@@ -206,7 +215,13 @@
     return progressChangedMillis;
   }
 
+  /** Returns the steady time at which the worker last reported the progress. */
+  long progressSeenMillis() {
+    return progressSeenMillis;
+  }
+
   void onProgress(int nextPercent, String nextCheckpoint, long nowMillis) {
+    progressSeenMillis = nowMillis;
     if (nextPercent != percent) {
       percent = nextPercent;
       progressChangedMillis = nowMillis;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -9,9 +9,11 @@
 import java.util.Map;
 import java.util.Set;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.PolicySettings;
+import org.peridotroute.scheduler.model.StepId;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.place.AllowedRegions;
@@ -30,7 +32,7 @@
   private static final long EXPIRY_FACTOR = 3;
 
   private final DurationEstimator durationEstimator;
-  private final RackSpeeds rackSpeeds;
+  private final SpeedEstimates speeds;
   private final long maxStopMillis;
   private final PolicySettings policy;
   private final UrgentDemand urgentDemand;
@@ -44,21 +46,15 @@
    */
   PlanViewBuilder(
       DurationEstimator durationEstimator,
-      RackSpeeds rackSpeeds,
+      SpeedEstimates speeds,
       long maxStopMillis,
       PolicySettings policy) {
-    this(
-        durationEstimator,
-        rackSpeeds,
-        maxStopMillis,
-        policy,
-        new UrgentDemand(),
-        new SuspectWaits());
+    this(durationEstimator, speeds, maxStopMillis, policy, new UrgentDemand(), new SuspectWaits());
   }
 
   private PlanViewBuilder(
       DurationEstimator durationEstimator,
-      RackSpeeds rackSpeeds,
+      SpeedEstimates speeds,
       long maxStopMillis,
       PolicySettings policy,
       UrgentDemand urgentDemand,
@@ -66,7 +62,7 @@
     this.policy = policy;
     this.maxStopMillis = maxStopMillis;
     this.durationEstimator = durationEstimator;
-    this.rackSpeeds = rackSpeeds;
+    this.speeds = speeds;
     this.urgentDemand = urgentDemand;
     this.suspectWaits = suspectWaits;
   }
@@ -74,12 +70,7 @@
   /** Returns a copy for a view that no pass decides on; it leaves this builder as it is. */
   PlanViewBuilder copy() {
     return new PlanViewBuilder(
-        durationEstimator,
-        rackSpeeds,
-        maxStopMillis,
-        policy,
-        urgentDemand.copy(),
-        suspectWaits.copy());
+        durationEstimator, speeds, maxStopMillis, policy, urgentDemand.copy(), suspectWaits.copy());
   }
 
   PlanView build(
@@ -100,11 +91,12 @@
     suspectWaits.endPass();
     List<PlanView.WorkerView> workers = new ArrayList<>();
     List<PlanView.RunningTask> runningTasks = new ArrayList<>();
+    Map<StepId, Map<WorkerId, String>> racksByStep = speeds.racksByStep(workerStates);
     for (WorkerState workerState : workerStates) {
       if (workerState.info() != null && workerState.isUsable(nowMillis)) {
         workers.add(workerView(workerState, jobsById, nowMillis));
       }
-      addRunningTasks(runningTasks, workerState, jobsById, guaranteed, nowMillis);
+      addRunningTasks(runningTasks, workerState, jobsById, guaranteed, racksByStep, nowMillis);
     }
     long urgentReserve =
         urgentDemand.updateHeadroom(
@@ -281,6 +273,10 @@
     return accelerators;
   }
 
+  private static Capacity limit(WorkerState workerState, Capacity free) {
+    return workerState.restraint().limit(free, workerState.info().capacity());
+  }
+
   private PlanView.WorkerView workerView(
       WorkerState workerState, Map<JobId, Job> jobsById, long nowMillis) {
     return new PlanView.WorkerView(
@@ -289,13 +285,13 @@
         workerState.info().rack(),
         Set.copyOf(workerState.info().labels()),
         workerState.info().capacity(),
-        workerState.free(),
-        workerState.freeAfterStops(nowMillis, maxStopMillis),
+        limit(workerState, workerState.free()),
+        limit(workerState, workerState.freeAfterStops(nowMillis, maxStopMillis)),
         workerState.tasksByStep(),
         preemptibleAccelerators(workerState, jobsById),
-        workerState.consecutiveFailures(),
+        workerState.restraint().consecutiveFailures(),
         workerState.isolatedFor(nowMillis),
-        rackSpeeds.slowdown(workerState.info().rack())
+        speeds.slowdown(workerState)
             * (workerState.info().coldMillis() > 0 ? policy.coldFactor() : 1));
   }
 
@@ -304,6 +300,7 @@
       WorkerState workerState,
       Map<JobId, Job> jobsById,
       Set<JobId> guaranteed,
+      Map<StepId, Map<WorkerId, String>> racksByStep,
       long nowMillis) {
     for (Attempt attempt : workerState.attempts()) {
       Job job = jobsById.get(attempt.key().task().job());
@@ -330,7 +327,11 @@
               spec.gang(),
               attempt.unsavedMillis(spec.checkpoints(), nowMillis),
               attempt.remainingMillis(
-                  durationEstimator.taskMillis(job.submission(), spec), nowMillis)));
+                  speeds.expectedMillis(
+                      durationEstimator.taskMillis(job.submission(), spec),
+                      workerState,
+                      spec.gang() ? racksByStep.get(attempt.key().task().step()) : null),
+                  nowMillis)));
     }
   }
 }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -100,6 +100,7 @@
   private final Set<JobId> cancelled = new HashSet<>();
   private final Events events;
   private final Map<TaskId, Long> crashAfterMillis = new HashMap<>();
+  private final Set<JobId> failingJobs = new HashSet<>();
   private double failingTaskShare;
   private boolean crashedWorkersKeepId;
   private int incarnationCount;
@@ -222,7 +223,7 @@
     @Override
     public WorkerModel.Behaviour behaviour(TaskId task, int run) {
       StepSpec step = requests.get(task.job()).steps().get(task.step().step());
-      boolean fails = random.nextDouble() < failingTaskShare;
+      boolean fails = random.nextDouble() < failingTaskShare || failingJobs.contains(task.job());
       return new WorkerModel.Behaviour(
           step.reserved(),
           step.service() ? Long.MAX_VALUE : step.estimateMillis(),
@@ -231,6 +232,11 @@
           crashAfterMillis.getOrDefault(task, Long.MAX_VALUE));
     }
 
+    @Override
+    public boolean failsBy(WorkerFault fault) {
+      return fault.failingShare() > 0 && random.nextDouble() < fault.failingShare();
+    }
+
     @Override
     public void onCrash(WorkerModel worker) {
       crashWorker(new WorkerId(worker.id()));
@@ -270,14 +276,7 @@
     }
   }
 
-  /**
-   * Creates a cluster and boots its VMs and workers.
-   *
-   * @param seed seed of all random choices
-   * @param vmCount number of VMs, named vm-0, vm-1 and so on
-   * @param workerCount number of workers
-   * @param events receives the events of all VMs
-   */
+  /** Creates a cluster without optional features. */
   public SimulatedCluster(long seed, int vmCount, int workerCount, Events events) {
     this(seed, vmCount, workerCount, events, Set.of());
   }
@@ -397,6 +396,7 @@
     }
     double rate = random.nextBoolean() ? SLOW_CLOCK_RATE : 1;
     host.incarnation = new WorkerModel(id.value(), time, rate, new TaskEnvironment(), oracle);
+    host.incarnation.setFault(host.fault);
   }
 
   /**
@@ -481,6 +481,13 @@
     time.after(unlistMillis, () -> setListed(id, false));
   }
 
+  /** Sets the fault of a worker, which restarts do not mend. */
+  public void setFault(WorkerId id, WorkerFault fault) {
+    WorkerHost host = workers.get(id);
+    host.fault = fault;
+    host.incarnation.setFault(fault);
+  }
+
   /** Adds a worker to the list of workers, or removes it. */
   public void setListed(WorkerId id, boolean listed) {
     append(Topic.WORKERS, id.value(), listed ? new byte[] {1} : null);
@@ -538,6 +545,11 @@
     workerGateway.setLinkBytesPerSecond(dispatchSettings.linkBytesPerSecond());
   }
 
+  /** Makes all runs of a job fail. */
+  public void setFailing(JobId id) {
+    failingJobs.add(id);
+  }
+
   /** Sets the share of runs that fail. */
   public void setFailingTasks(double share) {
     failingTaskShare = share;
