Remember stops by preemption and record lost work

With the feature stop-history the planner counts the stops of each task, reports every run without result in the event work-lost, and limits the stops of a pass. Stops move from Dispatcher to RunStopper.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -1,6 +1,7 @@
 package org.peridotroute.scheduler.dispatch;
 
 import org.peridotroute.scheduler.model.Capacity;
+import org.peridotroute.scheduler.model.StepId;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.port.WorkerGateway.RunEnd;
 
@@ -29,6 +30,7 @@
   }
 
   private static final int COMPLETE_PERCENT = 100;
+  private static final double MILLIS_PER_SECOND = 1_000.0;
 
   /** Expected remaining time of a run that should have ended already. */
   private static final long MIN_REMAINING_MILLIS = 200;
@@ -39,6 +41,7 @@
   private State state;
   private boolean stopRequested;
   private long stopRequestedMillis;
+  private StepId beneficiary;
   private boolean stopInFlight;
   private boolean ended;
   private long settledSequence = Long.MAX_VALUE;
@@ -152,6 +155,16 @@
     }
   }
 
+  /** Records for which step the run is stopped. */
+  void markPreempted(StepId step) {
+    beneficiary = step;
+  }
+
+  /** Returns the step for which the run is stopped, null if preemption does not stop it. */
+  StepId beneficiary() {
+    return beneficiary;
+  }
+
   /**
    * Returns whether a stop was requested and may still be expected to end the run in time.
    *
@@ -231,6 +244,21 @@
     return Math.max(MIN_REMAINING_MILLIS, remainingMillis);
   }
 
+  /**
+   * Returns the work that the end of the run loses, in core-seconds: what it has done since its
+   * last checkpoint, or since this planner learnt of it.
+   *
+   * @param lastCheckpoint checkpoint reported with the end, empty for none
+   */
+  double lostCoreSeconds(String lastCheckpoint, long nowMillis) {
+    boolean saved = !lastCheckpoint.isEmpty() && !lastCheckpoint.equals(checkpoint);
+    if (saved || state != State.RUNNING) {
+      return 0;
+    }
+    long sinceMillis = Math.max(checkpointMillis, stateSinceMillis);
+    return held.pricedCores() * Math.max(0, nowMillis - sinceMillis) / MILLIS_PER_SECOND;
+  }
+
   /** Returns the run time that a stop would lose; 0 if the step saves checkpoints. */
   long unsavedMillis(boolean checkpoints, long nowMillis) {
     if (checkpoints) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchEvents.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchEvents.java
@@ -111,6 +111,45 @@
     events.info("run-ended", fields.toArray());
   }
 
+  /**
+   * Reports a run that ended without result.
+   *
+   * @param lostCoreSeconds work that the end of the run lost
+   * @param totalCoreSeconds work lost by this cause during the term
+   * @param stops how often preemption has stopped the task during the term
+   */
+  void onWorkLost(
+      Job job,
+      StepProgress step,
+      Attempt attempt,
+      LostWork.Cause cause,
+      double lostCoreSeconds,
+      double totalCoreSeconds,
+      int stops) {
+    events.info(
+        "work-lost",
+        "job",
+        job.submission().id(),
+        "task",
+        attempt.key().task(),
+        "run",
+        attempt.key().run(),
+        "outcome",
+        cause,
+        "priority",
+        job.submission().terms().priority(),
+        "saves",
+        step.spec().checkpoints(),
+        "coreSeconds",
+        Math.round(lostCoreSeconds),
+        "totalCoreSeconds",
+        Math.round(totalCoreSeconds),
+        "stops",
+        stops,
+        "for",
+        attempt.beneficiary() == null ? "" : attempt.beneficiary());
+  }
+
   /**
    * Reports the end of a job.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.StepId;
@@ -23,7 +24,6 @@
 import org.peridotroute.scheduler.plan.CapacityClaim;
 import org.peridotroute.scheduler.plan.PlacementDecision;
 import org.peridotroute.scheduler.plan.Placer;
-import org.peridotroute.scheduler.plan.PlanSettings;
 import org.peridotroute.scheduler.plan.PlanView;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.KeyedLog;
@@ -78,9 +78,12 @@
   private final Placer placer;
   private final Journal journal;
   private final WorkerManager workerManager;
+  private final RunStopper runStopper;
   private final WorkerRecords workerRecords;
   private final DurationEstimator durationEstimator = new DurationEstimator();
   private final RackSpeeds rackSpeeds = new RackSpeeds();
+  private final StopHistory stopHistory = new StopHistory();
+  private final LostWork lostWork;
   private final PlanViewBuilder viewBuilder;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<StepId, CapacityClaim> claims = new HashMap<>();
@@ -138,14 +141,12 @@
     this.onSuperseded = onSuperseded;
     time = ports.time();
     dispatchEvents = new DispatchEvents(ports.events(), time, term, durationEstimator);
+    lostWork = new LostWork(stopHistory, dispatchEvents, time);
     placer = ports.placer();
     closureBound = new ClosureBound(settings.policy().closureMillis());
     viewBuilder =
         new PlanViewBuilder(
-            durationEstimator,
-            rackSpeeds,
-            settings.stopMillis() + PlanSettings.START_MARGIN_MILLIS,
-            settings.policy());
+            durationEstimator, rackSpeeds, stopHistory, settings, time.steadyMillis());
     journal =
         new Journal(
             ports.log(),
@@ -158,6 +159,7 @@
     workerManager =
         new WorkerManager(
             ports.gateway(), settings, term, ports.control(), time, ports.events(), this);
+    runStopper = new RunStopper(workerManager, time);
     inherited.forEach(workerManager::inherit);
     workerRecords = new WorkerRecords(inherited, journal::store, time.steadyMillis());
   }
@@ -229,7 +231,7 @@
     }
     job.cancel();
     storeProgress(job);
-    stopRuns(job);
+    runStopper.stopRuns(job);
   }
 
   /**
@@ -425,42 +427,7 @@
       return;
     }
     dispatchEvents.onPreempted(decision, step);
-    if (step.spec().gang()) {
-      stopStep(step, decision.run());
-    } else {
-      stopTask(step, decision.task().index(), decision.run());
-    }
-  }
-
-  private void stopStep(StepProgress step, int run) {
-    for (int i = 0; i < step.tasks().size(); i++) {
-      stopTask(step, i, run);
-    }
-  }
-
-  private void stopTask(StepProgress step, int index, int run) {
-    TaskProgress task = step.tasks().get(index);
-    if (task.state() != TaskProgress.State.ASSIGNED || task.run() != run) {
-      return;
-    }
-    Attempt attempt =
-        workerManager
-            .getOrCreate(task.worker())
-            .attemptsByKey()
-            .get(new Attempt.Key(new TaskId(step.id(), index), run));
-    if (attempt != null) {
-      attempt.requestStop(time.steadyMillis());
-    }
-  }
-
-  private void stopRuns(Job job) {
-    for (WorkerState workerState : workerManager.workers()) {
-      for (Attempt attempt : workerState.attempts()) {
-        if (attempt.key().task().job().equals(job.submission().id())) {
-          attempt.requestStop(time.steadyMillis());
-        }
-      }
-    }
+    runStopper.preempt(decision, step);
   }
 
   private void storeProgress(Job job) {
@@ -500,16 +467,19 @@
     if (!current) {
       return;
     }
+    if (settings.policy().has(Feature.STOP_HISTORY)) {
+      lostWork.onRunEnded(job, step, attempt, end, checkpoint);
+    }
     updateHealth(workerState, end);
     if (end == RunEnd.DONE && attempt.state() == Attempt.State.RUNNING) {
       recordDuration(job, step, workerState, time.steadyMillis() - attempt.stateSinceMillis());
     }
     if (step.spec().gang() && end != RunEnd.DONE) {
-      stopStep(step, attempt.key().run());
+      runStopper.stopStep(step, attempt.key().run());
     }
     if (job.phase().isEnded()) {
       dispatchEvents.onJobEnded(job, task);
-      stopRuns(job);
+      runStopper.stopRuns(job);
     }
     storeProgress(job);
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -10,12 +10,14 @@
 import java.util.Set;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Configuration;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.PolicySettings;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.place.AllowedRegions;
 import org.peridotroute.scheduler.plan.CapacityClaim;
+import org.peridotroute.scheduler.plan.PlanSettings;
 import org.peridotroute.scheduler.plan.PlanView;
 import org.peridotroute.scheduler.table.Job;
 import org.peridotroute.scheduler.table.Occurrence;
@@ -27,30 +29,37 @@
  */
 final class PlanViewBuilder {
   /** Multiple of its objective after which completing a job is of no use, as the users specify. */
-  private static final long EXPIRY_FACTOR = 3;
+  static final long EXPIRY_FACTOR = 3;
 
   private final DurationEstimator durationEstimator;
   private final RackSpeeds rackSpeeds;
+
+  /** Time within which a run should have ended after its stop was requested. */
   private final long maxStopMillis;
+
   private final PolicySettings policy;
   private final UrgentDemand urgentDemand = new UrgentDemand();
   private final SuspectWaits suspectWaits = new SuspectWaits();
+  private final RunningTaskViews runningTaskViews;
+  private final StopLimiter stopLimiter;
 
   /**
    * Creates a builder.
    *
-   * @param maxStopMillis time within which a run should have ended after its stop was requested
-   * @param policy optional policies
+   * @param termStartMillis steady time at which the term began
    */
   PlanViewBuilder(
       DurationEstimator durationEstimator,
       RackSpeeds rackSpeeds,
-      long maxStopMillis,
-      PolicySettings policy) {
-    this.policy = policy;
-    this.maxStopMillis = maxStopMillis;
+      StopHistory stopHistory,
+      DispatchSettings settings,
+      long termStartMillis) {
+    policy = settings.policy();
+    maxStopMillis = settings.stopMillis() + PlanSettings.START_MARGIN_MILLIS;
     this.durationEstimator = durationEstimator;
     this.rackSpeeds = rackSpeeds;
+    runningTaskViews = new RunningTaskViews(durationEstimator, policy, stopHistory, maxStopMillis);
+    stopLimiter = new StopLimiter(settings, termStartMillis);
   }
 
   PlanView build(
@@ -70,18 +79,24 @@
     }
     suspectWaits.endPass();
     List<PlanView.WorkerView> workers = new ArrayList<>();
-    List<PlanView.RunningTask> runningTasks = new ArrayList<>();
     for (WorkerState workerState : workerStates) {
       if (workerState.info() != null && workerState.isUsable(nowMillis)) {
         workers.add(workerView(workerState, jobsById, nowMillis));
       }
-      addRunningTasks(runningTasks, workerState, jobsById, guaranteed, nowMillis);
     }
     long urgentReserve =
         urgentDemand.updateHeadroom(
             urgentInUse(workerStates, jobsById) + urgentPending(pendingSteps), nowMillis);
     return new PlanView(
-        nowMillis, workers, pendingSteps, runningTasks, urgentReserve, List.copyOf(claims));
+        nowMillis,
+        workers,
+        pendingSteps,
+        runningTaskViews.build(workerStates, jobsById, guaranteed, nowMillis, wallMillis),
+        urgentReserve,
+        List.copyOf(claims),
+        policy.has(Feature.STOP_HISTORY)
+            ? stopLimiter.limits(workerStates, pendingSteps, jobsById, nowMillis)
+            : PlanView.StopLimits.NONE);
   }
 
   /** Returns the urgent jobs that the guarantees of their organisations cover, oldest first. */
@@ -236,39 +251,4 @@
         rackSpeeds.slowdown(workerState.info().rack())
             * (workerState.info().coldMillis() > 0 ? policy.coldFactor() : 1));
   }
-
-  private void addRunningTasks(
-      List<PlanView.RunningTask> runningTasks,
-      WorkerState workerState,
-      Map<JobId, Job> jobsById,
-      Set<JobId> guaranteed,
-      long nowMillis) {
-    for (Attempt attempt : workerState.attempts()) {
-      Job job = jobsById.get(attempt.key().task().job());
-      boolean preemptible =
-          attempt.isCurrent()
-              && !attempt.isStopRequested()
-              && attempt.state() != Attempt.State.PLANNED
-              && job != null;
-      if (!preemptible) {
-        continue;
-      }
-      StepSpec spec = job.submission().request().steps().get(attempt.key().task().step().step());
-      if (spec.service()) {
-        continue;
-      }
-      runningTasks.add(
-          new PlanView.RunningTask(
-              attempt.key().task(),
-              attempt.key().run(),
-              workerState.id(),
-              attempt.held(),
-              job.submission().terms().priority(),
-              guaranteed.contains(job.submission().id()),
-              spec.gang(),
-              attempt.unsavedMillis(spec.checkpoints(), nowMillis),
-              attempt.remainingMillis(
-                  durationEstimator.taskMillis(job.submission(), spec), nowMillis)));
-    }
-  }
 }
--- /dev/null
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunStopper.java
@@ -0,0 +1,73 @@
+package org.peridotroute.scheduler.dispatch;
+
+import org.peridotroute.scheduler.model.StepId;
+import org.peridotroute.scheduler.model.TaskId;
+import org.peridotroute.scheduler.plan.PlacementDecision;
+import org.peridotroute.scheduler.port.Time;
+import org.peridotroute.scheduler.table.Job;
+import org.peridotroute.scheduler.table.StepProgress;
+import org.peridotroute.scheduler.table.TaskProgress;
+
+/**
+ * Requests the stops of runs. The calls to the workers follow at the next tick of the worker
+ * manager.
+ */
+final class RunStopper {
+  private final WorkerManager workerManager;
+  private final Time time;
+
+  RunStopper(WorkerManager workerManager, Time time) {
+    this.workerManager = workerManager;
+    this.time = time;
+  }
+
+  /** Stops a run for a more urgent step; all members if the run belongs to a gang. */
+  void preempt(PlacementDecision.Preempt decision, StepProgress step) {
+    if (step.spec().gang()) {
+      stopAll(step, decision.run(), decision.beneficiary());
+    } else {
+      stop(step, decision.task().index(), decision.run(), decision.beneficiary());
+    }
+  }
+
+  /** Stops the tasks of a step that run with the given number. */
+  void stopStep(StepProgress step, int run) {
+    stopAll(step, run, null);
+  }
+
+  private void stopAll(StepProgress step, int run, StepId beneficiary) {
+    for (int i = 0; i < step.tasks().size(); i++) {
+      stop(step, i, run, beneficiary);
+    }
+  }
+
+  private void stop(StepProgress step, int index, int run, StepId beneficiary) {
+    TaskProgress task = step.tasks().get(index);
+    if (task.state() != TaskProgress.State.ASSIGNED || task.run() != run) {
+      return;
+    }
+    Attempt attempt =
+        workerManager
+            .getOrCreate(task.worker())
+            .attemptsByKey()
+            .get(new Attempt.Key(new TaskId(step.id(), index), run));
+    if (attempt == null) {
+      return;
+    }
+    if (beneficiary != null && !attempt.isStopRequested()) {
+      attempt.markPreempted(beneficiary);
+    }
+    attempt.requestStop(time.steadyMillis());
+  }
+
+  /** Stops all runs of a job. */
+  void stopRuns(Job job) {
+    for (WorkerState workerState : workerManager.workers()) {
+      for (Attempt attempt : workerState.attempts()) {
+        if (attempt.key().task().job().equals(job.submission().id())) {
+          attempt.requestStop(time.steadyMillis());
+        }
+      }
+    }
+  }
+}
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/StartQueue.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/StartQueue.java
@@ -11,7 +11,7 @@
  */
 final class StartQueue {
   /** Estimated bytes of a start in addition to its payload: headers, other fields and framing. */
-  private static final long OVERHEAD_BYTES = 600;
+  static final long OVERHEAD_BYTES = 600;
 
   /**
    * A start that waits.
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
@@ -19,6 +19,7 @@
  * @param runningTasks running tasks that may be preempted
  * @param urgentReserve accelerators to keep available without loss for urgent work expected soon
  * @param claims capacity that earlier passes are freeing for pending steps
+ * @param stopLimits what preemption may do in this pass
  */
 public record PlanView(
     long nowMillis,
@@ -26,7 +27,8 @@
     List<PendingStep> pendingSteps,
     List<RunningTask> runningTasks,
     long urgentReserve,
-    List<CapacityClaim> claims) {
+    List<CapacityClaim> claims,
+    StopLimits stopLimits) {
   /** Copies the lists. */
   public PlanView {
     workers = List.copyOf(workers);
@@ -35,6 +37,28 @@
     claims = List.copyOf(claims);
   }
 
+  /** Creates a view without limits on preemption. */
+  public PlanView(
+      long nowMillis,
+      List<WorkerView> workers,
+      List<PendingStep> pendingSteps,
+      List<RunningTask> runningTasks,
+      long urgentReserve,
+      List<CapacityClaim> claims) {
+    this(nowMillis, workers, pendingSteps, runningTasks, urgentReserve, claims, StopLimits.NONE);
+  }
+
+  /**
+   * Limits on preemption.
+   *
+   * @param permitted whether runs may be stopped at all
+   * @param maxClaimedTasks number of tasks that may wait for capacity that is being freed for them
+   */
+  public record StopLimits(boolean permitted, long maxClaimedTasks) {
+    /** No limits. */
+    public static final StopLimits NONE = new StopLimits(true, Long.MAX_VALUE);
+  }
+
   /**
    * A worker that accepts new work.
    *
@@ -174,6 +198,9 @@
    * @param gang whether the whole step ends with it
    * @param unsavedMillis run time that a stop would lose
    * @param remainingMillis expected time until it ends
+   * @param stops how often preemption has stopped the task during this term
+   * @param usefulness how useful the completion of its job will be if it runs on
+   * @param usefulnessIfStopped how useful the completion of its job will be if it is stopped now
    */
   public record RunningTask(
       TaskId task,
@@ -184,5 +211,34 @@
       boolean guaranteed,
       boolean gang,
       long unsavedMillis,
-      long remainingMillis) {}
+      long remainingMillis,
+      int stops,
+      Usefulness usefulness,
+      Usefulness usefulnessIfStopped) {
+    /** Creates a task without history whose job a stop makes no less useful. */
+    public RunningTask(
+        TaskId task,
+        int run,
+        WorkerId worker,
+        Capacity held,
+        int priority,
+        boolean guaranteed,
+        boolean gang,
+        long unsavedMillis,
+        long remainingMillis) {
+      this(
+          task,
+          run,
+          worker,
+          held,
+          priority,
+          guaranteed,
+          gang,
+          unsavedMillis,
+          remainingMillis,
+          0,
+          Usefulness.NONE,
+          Usefulness.NONE);
+    }
+  }
 }
