Preempt only if the urgent caller gains more than others lose

Applies with the feature stop-history. Victims are chosen by what they cost together: whole gangs, earlier stops, and the callers that become late. A task stopped twice is spared unless a guarantee is due. Preemption moves out of GangFirstPlacer.

--- /dev/null
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/CompletionValue.java
@@ -0,0 +1,30 @@
+package org.peridotroute.scheduler.plan;
+
+import org.peridotroute.scheduler.plan.PlanView.Usefulness;
+
+/**
+ * What the completion of a job is worth to its caller, in core-seconds of wasted work, so that a
+ * gain can be compared with the work that it costs.
+ */
+final class CompletionValue {
+  /** Cost of a wasted core-second in units of value, from the users' price list. */
+  private static final double CORE_SECOND_COST = 0.00078;
+
+  /** Value on time by priority, from the users' price list. */
+  private static final double[] ON_TIME = {4, 3, 1};
+
+  /** Value of a late completion by priority, from the users' price list. */
+  private static final double[] LATE = {0.8, 0.9, 0.3};
+
+  private CompletionValue() {}
+
+  /** Returns the value of a completion in core-seconds. */
+  static double coreSeconds(int priority, Usefulness usefulness) {
+    int row = Math.min(priority, ON_TIME.length - 1);
+    return switch (usefulness) {
+      case ON_TIME -> ON_TIME[row] / CORE_SECOND_COST;
+      case LATE -> LATE[row] / CORE_SECOND_COST;
+      case NONE -> 0;
+    };
+  }
+}
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -6,8 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.Feature;
 
 /**
  * Places pending steps by priority, then guarantee, then by whether they can still meet their
@@ -57,7 +57,7 @@
   private final class Pass {
     private final PlanView view;
     private final CapacityLedger ledger;
-    private final VictimSelector victimSelector;
+    private final Preemption preemption;
     private final EarliestStart earliestStart;
     private final List<PlacementDecision> decisions = new ArrayList<>();
     private final List<PlanView.PendingStep> queue;
@@ -68,8 +68,8 @@
     Pass(PlanView view) {
       this.view = view;
       ledger = new CapacityLedger(view.workers());
-      victimSelector = new VictimSelector(view.runningTasks());
       earliestStart = new EarliestStart(view.runningTasks());
+      preemption = new Preemption(settings, view, ledger, earliestStart);
       queue = new ArrayList<>(view.pendingSteps());
       queue.sort(queueOrder(view.nowMillis()));
       claims = new ClaimTable(ledger, view.claims(), queue);
@@ -77,7 +77,7 @@
 
     List<PlacementDecision> run() {
       for (PlanView.PendingStep pending : queue) {
-        if (isReclaimDue(pending)) {
+        if (preemption.isReclaimDue(pending)) {
           claims.dropThoseWithoutGuarantee();
         }
         ownClaim = claims.release(pending);
@@ -153,11 +153,14 @@
         return;
       }
       boolean urgentAndLate = pending.priority() == 0 && willMissObjective(pending);
-      if (isReclaimDue(pending)
+      if (preemption.isReclaimDue(pending)
           || groups.isEmpty()
           || urgentAndLate
           || hasWaitedWhileIdle(pending)) {
-        placeAcrossRacks(pending, candidates, members);
+        boolean placed = placeAcrossRacks(pending, candidates, members);
+        if (!placed && settings.policy().has(Feature.STOP_HISTORY)) {
+          hold(pending, groups, members);
+        }
       } else {
         hold(pending, groups, members);
       }
@@ -199,17 +202,6 @@
           .toList();
     }
 
-    /** Returns whether a guaranteed step has to get its capacity now to start within its bound. */
-    private boolean isReclaimDue(PlanView.PendingStep pending) {
-      return pending.guaranteed()
-          && view.nowMillis() - pending.waitingSinceMillis() >= settings.crossRackAfterMillis();
-    }
-
-    private boolean mustStopBorrowers(PlanView.PendingStep pending) {
-      return pending.guaranteed()
-          && view.nowMillis() - pending.waitingSinceMillis() >= settings.borrowersStopAfterMillis();
-    }
-
     private boolean isMostlyIdle() {
       return 2 * ledger.unusedAccelerators() > ledger.totalAccelerators();
     }
@@ -289,14 +281,15 @@
       return ledger.acceleratorsWithoutLoss() - allocated >= view.urgentReserve();
     }
 
-    private void placeAcrossRacks(
+    private boolean placeAcrossRacks(
         PlanView.PendingStep pending, List<CapacityLedger.Entry> candidates, int members) {
       List<List<CapacityLedger.Entry>> all = List.of(candidates);
       if (bestFit(pending, all, members) != null) {
         addStart(pending, allocate(pending, candidates, members));
-      } else if (!reserveStoppingCapacity(pending, all, members) && mayPreempt(pending)) {
-        preempt(pending, all, members);
+        return true;
       }
+      return reserveStoppingCapacity(pending, all, members)
+          || (mayPreempt(pending) && preempt(pending, all, members));
     }
 
     /**
@@ -436,51 +429,14 @@
       }
     }
 
-    /**
-     * Stops less urgent runs so that the step fits. A guaranteed step that would otherwise start
-     * too late also stops runs of its own priority that borrow what other organisations do not use.
-     */
     private boolean preempt(
         PlanView.PendingStep pending, List<List<CapacityLedger.Entry>> groups, int members) {
-      return preempt(pending, groups, members, run -> run.priority() > pending.priority())
-          || (mustStopBorrowers(pending)
-              && preempt(
-                  pending,
-                  groups,
-                  members,
-                  run -> run.priority() >= pending.priority() && !run.guaranteed()));
-    }
-
-    private boolean preempt(
-        PlanView.PendingStep pending,
-        List<List<CapacityLedger.Entry>> groups,
-        int members,
-        Predicate<PlanView.RunningTask> eligible) {
-      VictimSelector.Selection best = null;
-      List<CapacityLedger.Entry> target = null;
-      for (List<CapacityLedger.Entry> group : groups) {
-        VictimSelector.Selection selection =
-            victimSelector.selectCheapest(pending, group, members, eligible);
-        if (selection != null && (best == null || selection.cost() < best.cost())) {
-          best = selection;
-          target = group;
-        }
-      }
-      if (best == null) {
+      Preemption.Plan plan = preemption.stopFor(pending, groups, members);
+      if (plan == null) {
         return false;
       }
-      for (PlanView.RunningTask victim : victimSelector.markStopping(best)) {
-        CapacityLedger.Entry entry = ledger.entry(victim.worker());
-        if (entry != null) {
-          entry.addStopping(victim.held());
-        }
-      }
-      best.victims()
-          .forEach(
-              victim ->
-                  decisions.add(
-                      new PlacementDecision.Preempt(victim.task(), victim.run(), pending.step())));
-      reserve(pending, target, members);
+      decisions.addAll(plan.stops());
+      reserve(pending, plan.target(), members);
       return true;
     }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/VictimSelector.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/VictimSelector.java
@@ -10,14 +10,12 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
-import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
-import org.peridotroute.scheduler.model.StepId;
 
 /**
  * Selects the running tasks whose preemption frees enough capacity at the lowest cost. Preempting
- * one member of a gang costs the work of all members, since all of them end. Mutable; used for one
- * pass only.
+ * one member of a gang costs the work of all members, since all of them end. Used for one pass
+ * only.
  */
 final class VictimSelector {
   private static final double MILLIS_PER_SECOND = 1_000.0;
@@ -28,17 +26,10 @@
    */
   private static final double STOP_COST_CORE_SECONDS = 5;
 
-  private final Map<WorkerId, List<PlanView.RunningTask>> byWorker = new HashMap<>();
-  private final Map<StepId, List<PlanView.RunningTask>> gangs = new HashMap<>();
-  private final Set<PlanView.RunningTask> stopping = new HashSet<>();
+  private final RunIndex runs;
 
-  VictimSelector(List<PlanView.RunningTask> runningTasks) {
-    for (PlanView.RunningTask run : runningTasks) {
-      byWorker.computeIfAbsent(run.worker(), key -> new ArrayList<>()).add(run);
-      if (run.gang()) {
-        gangs.computeIfAbsent(run.task().step(), key -> new ArrayList<>()).add(run);
-      }
-    }
+  VictimSelector(RunIndex runs) {
+    this.runs = runs;
   }
 
   /**
@@ -113,19 +104,19 @@
       CapacityLedger.Entry entry,
       Set<PlanView.RunningTask> alreadyStopped,
       Predicate<PlanView.RunningTask> eligible) {
-    List<PlanView.RunningTask> runs = new ArrayList<>();
-    for (PlanView.RunningTask run : byWorker.getOrDefault(entry.worker().id(), List.of())) {
-      if (eligible.test(run) && !stopping.contains(run) && !alreadyStopped.contains(run)) {
-        runs.add(run);
+    List<PlanView.RunningTask> eligibleRuns = new ArrayList<>();
+    for (PlanView.RunningTask run : runs.onWorker(entry.worker().id())) {
+      if (eligible.test(run) && !runs.isStopping(run) && !alreadyStopped.contains(run)) {
+        eligibleRuns.add(run);
       }
     }
-    runs.sort(
+    eligibleRuns.sort(
         Comparator.comparingDouble(run -> preemptionCost(run) / (1 + run.held().pricedCores())));
     int limit = Integer.MAX_VALUE;
     int fittingBefore = countFitting(pending, entry, alreadyStopped, limit);
     Set<PlanView.RunningTask> stopped = new HashSet<>(alreadyStopped);
     List<PlanView.RunningTask> added = new ArrayList<>();
-    for (PlanView.RunningTask run : runs) {
+    for (PlanView.RunningTask run : eligibleRuns) {
       stopped.add(run);
       added.add(run);
       if (countFitting(pending, entry, stopped, limit) > fittingBefore) {
@@ -158,31 +149,11 @@
   }
 
   private double preemptionCost(PlanView.RunningTask run) {
-    if (!run.gang()) {
-      return lostCoreSeconds(run);
-    }
-    return gangs.get(run.task().step()).stream().mapToDouble(VictimSelector::lostCoreSeconds).sum();
+    return runs.endingWith(run).stream().mapToDouble(VictimSelector::lostCoreSeconds).sum();
   }
 
   private static double lostCoreSeconds(PlanView.RunningTask run) {
     return STOP_COST_CORE_SECONDS
         + run.held().pricedCores() * run.unsavedMillis() / MILLIS_PER_SECOND;
   }
-
-  /**
-   * Marks the victims as stopping and returns all runs that end with them, gang members included.
-   */
-  List<PlanView.RunningTask> markStopping(Selection selection) {
-    List<PlanView.RunningTask> ending = new ArrayList<>();
-    for (PlanView.RunningTask run : selection.victims()) {
-      List<PlanView.RunningTask> endingTogether =
-          run.gang() ? gangs.get(run.task().step()) : List.of(run);
-      for (PlanView.RunningTask member : endingTogether) {
-        if (stopping.add(member)) {
-          ending.add(member);
-        }
-      }
-    }
-    return ending;
-  }
 }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -18,6 +18,7 @@
 import org.peridotroute.scheduler.dispatch.Dispatcher;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.JobRequest;
@@ -69,18 +70,7 @@
   private static final String CLOSURE_PREFIX = "closed/";
 
   private static final DispatchSettings DISPATCH_SETTINGS =
-      new DispatchSettings(
-          10_000,
-          1_500,
-          800,
-          400,
-          10_000,
-          3_400,
-          900,
-          3,
-          1_500,
-          250_000,
-          new PolicySettings(Set.of(), CLOSURE_MILLIS, 1, 0, 1, Map.of()));
+      new DispatchSettings(10_000, 1_500, 800, 400, 10_000, 3_400, 900, 3, 1_500, 250_000);
   private static final long CANCEL_MILLIS = 3_000;
   private static final long TICK_MILLIS = 50;
   private static final long POLL_MILLIS = 10;
@@ -93,6 +83,7 @@
   private static final long UNLIST_MILLIS = 4_500;
 
   private final VirtualTime time = new VirtualTime();
+  private final PolicySettings policy;
   private final Random random;
   private final LogModel log = new LogModel();
   private final SimulationOracle oracle =
@@ -133,7 +124,7 @@
           SchedulerVmSettings.newBuilder()
               .setVm(name)
               .setIncarnation("life" + incarnationCount++)
-              .setDispatch(DISPATCH_SETTINGS)
+              .setDispatch(DISPATCH_SETTINGS.withPolicy(policy))
               .setReadWaitMillis(1_500)
               .setHeartbeatWaitMillis(800)
               .setPlannerReadIntervalMillis(20)
@@ -149,7 +140,7 @@
               control,
               time,
               events,
-              new GangFirstPlacer(new PlanSettings(3, 3_400, 900)));
+              new GangFirstPlacer(new PlanSettings(3, 3_400, 900, policy)));
       scheduler = new SchedulerVm(settings, ports, new Decoder());
       control.execute(scheduler::start);
       tick(bootNumber);
@@ -278,6 +269,13 @@
    * @param events receives the events of all VMs
    */
   public SimulatedCluster(long seed, int vmCount, int workerCount, Events events) {
+    this(seed, vmCount, workerCount, events, Set.of());
+  }
+
+  /** Creates a cluster with optional features switched on. */
+  public SimulatedCluster(
+      long seed, int vmCount, int workerCount, Events events, Set<Feature> features) {
+    policy = new PolicySettings(features, CLOSURE_MILLIS, 1, 0, 1, Map.of());
     random = new Random(seed);
     this.events = events;
     workerGateway =
--- /dev/null
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/UrgentBurstTest.java
@@ -0,0 +1,98 @@
+package org.peridotroute.scheduler;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.peridotroute.scheduler.model.Capacity;
+import org.peridotroute.scheduler.model.Feature;
+import org.peridotroute.scheduler.model.JobId;
+import org.peridotroute.scheduler.model.JobRequest;
+import org.peridotroute.scheduler.model.Schedule;
+import org.peridotroute.scheduler.model.StepSpec;
+import org.peridotroute.scheduler.port.Events;
+import org.peridotroute.standin.world.SimulatedCluster;
+
+/**
+ * Pattern: urgent gangs keep arriving while the fleet is full of background work. Guards against
+ * tasks that are stopped again and again, and against stops that the ledger does not record.
+ */
+final class UrgentBurstTest {
+  private static final int WORKERS = 12;
+  private static final int MAX_STOPS = 2;
+
+  private record Event(String name, Map<String, String> fields) {}
+
+  private final List<Event> log = new ArrayList<>();
+  private final Events events =
+      (level, name, fields) -> {
+        Map<String, String> byName = new HashMap<>();
+        for (int i = 0; i + 1 < fields.length; i += 2) {
+          byName.put(fields[i].toString(), String.valueOf(fields[i + 1]));
+        }
+        log.add(new Event(name, byName));
+      };
+
+  private static JobId id(int number) {
+    return new JobId("%016x".formatted(number));
+  }
+
+  private static JobRequest job(int tasks, int accelerators, boolean gang, long millis) {
+    return new JobRequest(
+        "payload",
+        List.of(
+            StepSpec.newBuilder()
+                .setCount(tasks)
+                .setNeed(new Capacity(accelerators * 1_000L, accelerators * 1_000L, accelerators))
+                .setGang(gang)
+                .setSameRack(gang)
+                .setEstimateMillis(millis)
+                .build()),
+        Schedule.ONCE);
+  }
+
+  private Map<String, Integer> countByTask(String event, String outcome) {
+    Map<String, Integer> counts = new HashMap<>();
+    for (Event entry : log) {
+      if (entry.name().equals(event)
+          && (outcome == null || outcome.equals(entry.fields().get("outcome")))) {
+        counts.merge(entry.fields().get("task"), 1, Integer::sum);
+      }
+    }
+    return counts;
+  }
+
+  private void playBurst(int seed) {
+    SimulatedCluster cluster =
+        new SimulatedCluster(seed, 3, WORKERS, events, Set.of(Feature.STOP_HISTORY));
+    cluster.time().pass(4_000);
+    for (int i = 0; i < 6; i++) {
+      cluster.submit(id(i), job(30, 1, false, 7_000), 2);
+    }
+    cluster.time().pass(1_000);
+    for (int i = 0; i < 24; i++) {
+      cluster.submit(id(1_000 + i), job(3, 8, true, 2_300), 0);
+      cluster.time().pass(700);
+    }
+    cluster.time().pass(60_000);
+    assertThat(cluster.oracle().violations()).isEmpty();
+    assertThat(cluster.unfinished()).isEmpty();
+  }
+
+  // One task was stopped up to 13 times. None of these gangs is covered by a guarantee.
+  @Test
+  void burstOfUrgentGangsOnAFullFleetStopsNoTaskMoreThanTwice() {
+    for (int seed = 1; seed <= 4; seed++) {
+      log.clear();
+      playBurst(seed);
+      Map<String, Integer> stops = countByTask("run-preempted", null);
+      assertThat(stops).isNotEmpty();
+      stops.values().forEach(count -> assertThat(count).isAtMost(MAX_STOPS));
+      assertThat(countByTask("work-lost", "PREEMPTED")).isEqualTo(stops);
+    }
+  }
+}
