--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/UrgentBurstTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/UrgentBurstTest.java
@@ -22,7 +22,7 @@
  * tasks that are stopped again and again, and against stops that the ledger does not record.
  */
 final class UrgentBurstTest {
-  private static final int WORKERS = 12;
+  private static final int WORKERS = 8;
   private static final int MAX_STOPS = 2;
 
   private record Event(String name, Map<String, String> fields) {}
@@ -71,14 +71,14 @@
         new SimulatedCluster(seed, 3, WORKERS, events, Set.of(Feature.STOP_HISTORY));
     cluster.time().pass(4_000);
     for (int i = 0; i < 6; i++) {
-      cluster.submit(id(i), job(30, 1, false, 7_000), 2);
+      cluster.submit(id(i), job(20, 1, false, 15_000), 2);
     }
     cluster.time().pass(1_000);
-    for (int i = 0; i < 24; i++) {
-      cluster.submit(id(1_000 + i), job(3, 8, true, 2_300), 0);
-      cluster.time().pass(700);
+    for (int i = 0; i < 30; i++) {
+      cluster.submit(id(1_000 + i), job(2, 8, true, 2_300), 0);
+      cluster.time().pass(3_300);
     }
-    cluster.time().pass(60_000);
+    cluster.time().pass(90_000);
     assertThat(cluster.oracle().violations()).isEmpty();
     assertThat(cluster.unfinished()).isEmpty();
   }
