--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -42,6 +42,7 @@
   private boolean stopRequested;
   private long stopRequestedMillis;
   private StepId beneficiary;
+  private boolean moved;
   private boolean stopInFlight;
   private boolean ended;
   private long settledSequence = Long.MAX_VALUE;
@@ -165,6 +166,16 @@
     return beneficiary;
   }
 
+  /** Records that the run is stopped because its worker leaves. */
+  void markMoved() {
+    moved = true;
+  }
+
+  /** Returns whether the run is stopped because its worker leaves. */
+  boolean isMoved() {
+    return moved;
+  }
+
   /**
    * Returns whether a stop was requested and may still be expected to end the run in time.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchEvents.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchEvents.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.place.Closures;
+import org.peridotroute.scheduler.plan.DepartureMoves;
 import org.peridotroute.scheduler.plan.PlacementDecision;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.Time;
@@ -74,6 +75,22 @@
         decision.beneficiary());
   }
 
+  /** Reports that a run is stopped because its worker leaves. */
+  void onMoved(TaskId task, int run, DepartureMoves.Leaving leaving) {
+    events.info(
+        "run-moved",
+        "job",
+        task.job(),
+        "task",
+        task,
+        "run",
+        run,
+        "leaveMillis",
+        leaving.leaveMillis(),
+        "expectedMillis",
+        leaving.remainingMillis());
+  }
+
   void onRunEnded(
       WorkerState workerState, Attempt attempt, RunEnd end, String evidence, boolean counted) {
     List<Object> fields =
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -79,6 +79,7 @@
   private final Journal journal;
   private final WorkerManager workerManager;
   private final RunStopper runStopper;
+  private final Departures departures;
   private final WorkerRecords workerRecords;
   private final DurationEstimator durationEstimator = new DurationEstimator();
   private final RackSpeeds rackSpeeds = new RackSpeeds();
@@ -160,6 +161,7 @@
         new WorkerManager(
             ports.gateway(), settings, term, ports.control(), time, ports.events(), this);
     runStopper = new RunStopper(workerManager, time);
+    departures = new Departures(viewBuilder, runStopper, dispatchEvents, settings.stopMillis());
     inherited.forEach(workerManager::inherit);
     workerRecords = new WorkerRecords(inherited, journal::store, time.steadyMillis());
   }
@@ -340,10 +342,9 @@
             view.pendingSteps().stream()
                 .map(PlanView.PendingStep::step)
                 .collect(Collectors.toSet()));
-    if (view.pendingSteps().isEmpty()) {
-      return;
-    }
-    for (PlacementDecision decision : placer.decide(view)) {
+    List<PlacementDecision> decisions =
+        view.pendingSteps().isEmpty() ? List.of() : placer.decide(view);
+    for (PlacementDecision decision : decisions) {
       if (decision instanceof PlacementDecision.Start start) {
         claims.remove(start.step());
         assignTasks(start, now);
@@ -353,6 +354,9 @@
         preempt(preempt);
       }
     }
+    if (settings.policy().has(Feature.STOP_HISTORY)) {
+      departures.moveRuns(view, decisions, workerManager.workers(), jobs, wall);
+    }
   }
 
   private void assignTasks(PlacementDecision.Start start, long now) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/LostWork.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/LostWork.java
@@ -16,6 +16,8 @@
   enum Cause {
     /** It was stopped for a more urgent step. */
     PREEMPTED,
+    /** It was stopped because its worker leaves. */
+    MOVED,
     /** Its job has ended, through a cancel or the failure of another task. */
     JOB_ENDED,
     /** Another member of its gang ended. */
@@ -71,6 +73,8 @@
       default -> {
         if (attempt.beneficiary() != null) {
           yield Cause.PREEMPTED;
+        } else if (attempt.isMoved()) {
+          yield Cause.MOVED;
         } else if (job.phase().isEnded()) {
           yield Cause.JOB_ENDED;
         }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -131,39 +131,61 @@
       Collection<WorkerState> workerStates,
       long nowMillis,
       long wallMillis) {
-    Submission submission = job.submission();
-    long steadyMinusWall = nowMillis - wallMillis;
     for (Occurrence occurrence : job.openOccurrences()) {
-      long due = submission.request().schedule().dueMillis(occurrence.number());
-      long waitingSince = (due > 0 ? due : submission.acceptedAtMillis()) + steadyMinusWall;
-      long objective = durationEstimator.objectiveMillis(submission);
       for (StepProgress step : occurrence.steps()) {
         List<Integer> tasks = waitingTasks(step);
         boolean complete = !step.spec().gang() || tasks.size() == step.tasks().size();
         if (tasks.isEmpty() || !complete || !occurrence.isReady(step)) {
           continue;
         }
-        Set<WorkerId> excludedWorkers = workersOutside(submission, workerStates);
-        step.tasks().forEach(task -> excludedWorkers.addAll(task.failedOn()));
         pendingSteps.add(
-            new PlanView.PendingStep(
-                step.id(),
-                step.spec(),
-                submission.service(),
+            pendingStep(
+                job,
+                occurrence,
+                step,
                 tasks,
-                submission.terms().priority(),
-                guaranteed.contains(submission.id()),
-                waitingSince,
-                waitingSince + objective,
-                waitingSince + EXPIRY_FACTOR * objective,
-                durationEstimator.taskMillis(submission, step.spec()),
-                durationEstimator.criticalPathMillis(submission, step.id().step()),
-                excludedWorkers,
-                suspectWaits.find(step, tasks, nowMillis)));
+                guaranteed.contains(job.submission().id()),
+                suspectWaits.find(step, tasks, nowMillis),
+                workerStates,
+                nowMillis,
+                wallMillis));
       }
     }
   }
 
+  /** Returns the view of a step of which the given tasks wait. */
+  PlanView.PendingStep pendingStep(
+      Job job,
+      Occurrence occurrence,
+      StepProgress step,
+      List<Integer> tasks,
+      boolean guaranteed,
+      PlanView.Suspects suspects,
+      Collection<WorkerState> workerStates,
+      long nowMillis,
+      long wallMillis) {
+    Submission submission = job.submission();
+    long due = submission.request().schedule().dueMillis(occurrence.number());
+    long waitingSince = (due > 0 ? due : submission.acceptedAtMillis()) + nowMillis - wallMillis;
+    long objective = durationEstimator.objectiveMillis(submission);
+    Set<WorkerId> excludedWorkers = workersOutside(submission, workerStates);
+    step.tasks().forEach(task -> excludedWorkers.addAll(task.failedOn()));
+    return new PlanView.PendingStep(
+        step.id(),
+        step.spec(),
+        submission.service(),
+        tasks,
+        submission.terms().priority(),
+        guaranteed,
+        waitingSince,
+        waitingSince + objective,
+        waitingSince + EXPIRY_FACTOR * objective,
+        durationEstimator.taskMillis(submission, step.spec()),
+        durationEstimator.criticalPathMillis(submission, step.id().step()),
+        excludedWorkers,
+        suspects);
+  }
+
   /** Returns the workers outside the regions in which a job may run. */
   private Set<WorkerId> workersOutside(
       Submission submission, Collection<WorkerState> workerStates) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunStopper.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunStopper.java
@@ -35,6 +35,15 @@
     stopAll(step, run, null);
   }
 
+  /** Stops a run whose worker leaves. */
+  void move(StepProgress step, int index, int run) {
+    Attempt attempt = find(step, index, run);
+    if (attempt != null && !attempt.isStopRequested()) {
+      attempt.markMoved();
+      attempt.requestStop(time.steadyMillis());
+    }
+  }
+
   private void stopAll(StepProgress step, int run, StepId beneficiary) {
     for (int i = 0; i < step.tasks().size(); i++) {
       stop(step, i, run, beneficiary);
@@ -42,15 +51,7 @@
   }
 
   private void stop(StepProgress step, int index, int run, StepId beneficiary) {
-    TaskProgress task = step.tasks().get(index);
-    if (task.state() != TaskProgress.State.ASSIGNED || task.run() != run) {
-      return;
-    }
-    Attempt attempt =
-        workerManager
-            .getOrCreate(task.worker())
-            .attemptsByKey()
-            .get(new Attempt.Key(new TaskId(step.id(), index), run));
+    Attempt attempt = find(step, index, run);
     if (attempt == null) {
       return;
     }
@@ -60,6 +61,17 @@
     attempt.requestStop(time.steadyMillis());
   }
 
+  /** Returns the attempt of a run, or null if it is not the current run of its task. */
+  private Attempt find(StepProgress step, int index, int run) {
+    TaskProgress task = step.tasks().get(index);
+    return task.state() == TaskProgress.State.ASSIGNED && task.run() == run
+        ? workerManager
+            .getOrCreate(task.worker())
+            .attemptsByKey()
+            .get(new Attempt.Key(new TaskId(step.id(), index), run))
+        : null;
+  }
+
   /** Stops all runs of a job. */
   void stopRuns(Job job) {
     for (WorkerState workerState : workerManager.workers()) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -95,6 +95,11 @@
     return info.draining() && (!listed || nowMillis >= announcedEndMillis);
   }
 
+  /** Returns the steady time until which the worker stays at least; far off unless it leaves. */
+  long announcedEndMillis() {
+    return announcedEndMillis;
+  }
+
   void markUnlisted() {
     listed = false;
   }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -218,7 +218,8 @@
           step.service() ? Long.MAX_VALUE : step.estimateMillis(),
           fails,
           step.gang() ? step.count() : 0,
-          crashAfterMillis.getOrDefault(task, Long.MAX_VALUE));
+          crashAfterMillis.getOrDefault(task, Long.MAX_VALUE),
+          step.checkpoints());
     }
 
     @Override
@@ -345,6 +346,11 @@
     return List.copyOf(workers.keySet());
   }
 
+  /** Returns the capacity that the runs on a worker occupy. */
+  public Capacity usedCapacity(WorkerId id) {
+    return workers.get(id).incarnation.used();
+  }
+
   /** Returns the name of the first running VM that acts as planner, or empty if none does. */
   public Optional<String> planner() {
     return vms.values().stream()
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
@@ -46,9 +46,15 @@
    * @param members number of members of its gang, 0 for a task outside any gang
    * @param crashAfterMillis time after its start at which it crashes the worker; {@code
    *     Long.MAX_VALUE} for never
+   * @param saves whether it saves its progress when it is stopped
    */
   public record Behaviour(
-      Capacity held, long workMillis, boolean fails, int members, long crashAfterMillis) {}
+      Capacity held,
+      long workMillis,
+      boolean fails,
+      int members,
+      long crashAfterMillis,
+      boolean saves) {}
 
   /** Behaviour of the tasks, state of gangs on all workers, and time limits. */
   public interface Environment {
@@ -79,12 +85,18 @@
     private long remainingMillis;
     private long stopAtMillis = Long.MAX_VALUE;
 
-    Run(TaskId task, int run, Behaviour behaviour, long nowMillis) {
+    Run(TaskId task, int run, Behaviour behaviour, String checkpoint, long nowMillis) {
       startedAtMillis = nowMillis;
       this.task = task;
       this.run = run;
       this.behaviour = behaviour;
-      remainingMillis = behaviour.workMillis();
+      long doneMillis = checkpoint.isEmpty() ? 0 : Long.parseLong(checkpoint);
+      remainingMillis = behaviour.workMillis() - doneMillis;
+    }
+
+    /** Returns the work done, which is what a checkpoint of the model contains. */
+    private String checkpoint() {
+      return behaviour.saves() ? Long.toString(behaviour.workMillis() - remainingMillis) : "";
     }
   }
 
@@ -205,7 +217,8 @@
   private void end(Run run, RunEnd how) {
     running.remove(run.task);
     highestBarredRun.merge(run.task, run.run, Math::max);
-    ended.add(new EndedTask(++endCount, run.task, run.run, how, ""));
+    String checkpoint = how == RunEnd.STOPPED ? run.checkpoint() : "";
+    ended.add(new EndedTask(++endCount, run.task, run.run, how, checkpoint));
     observer.onEnded(this, run.task, run.run, how);
     if (run.behaviour.members() > 0) {
       environment.onMemberEnded(run.task, run.run, how);
@@ -245,7 +258,9 @@
       return reply(CallOutcome.EXPIRED);
     }
     Behaviour behaviour = environment.behaviour(request.task(), request.run());
-    Run started = new Run(request.task(), request.run(), behaviour, time.steadyMillis());
+    Run started =
+        new Run(
+            request.task(), request.run(), behaviour, request.checkpoint(), time.steadyMillis());
     running.put(request.task(), started);
     observer.onStarted(this, request.task(), request.run(), behaviour.held());
     return reply(CallOutcome.DONE);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/UrgentBurstTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/UrgentBurstTest.java
@@ -25,6 +25,9 @@
   private static final int WORKERS = 8;
   private static final int MAX_STOPS = 2;
 
+  /** Time within which a guaranteed step must start, by the settings of the cluster. */
+  private static final long RECLAIM_MILLIS = 3_400;
+
   private record Event(String name, Map<String, String> fields) {}
 
   private final List<Event> log = new ArrayList<>();
@@ -103,4 +106,25 @@
       assertThat(runs("work-lost", "outcome", "PREEMPTED")).containsExactlyElementsIn(stopped);
     }
   }
+
+  // The work of a minute is worth more than one small gang, but a guarantee holds all the same.
+  @Test
+  void guaranteedGangStartsWithinItsBoundAlthoughTheStopsDoNotPay() {
+    SimulatedCluster cluster =
+        new SimulatedCluster(1, 3, WORKERS, events, Set.of(Feature.STOP_HISTORY));
+    cluster.time().pass(4_000);
+    cluster.submit(id(1), job(8 * WORKERS, 1, false, 200_000), 2);
+    cluster.time().pass(70_000);
+    log.clear();
+    cluster.submit(id(2), job(1, 8, true, 2_300), 0);
+    cluster.time().pass(RECLAIM_MILLIS);
+    List<Event> placed =
+        log.stream()
+            .filter(entry -> entry.name().equals("step-placed"))
+            .filter(entry -> entry.fields().get("job").equals(id(2).toString()))
+            .toList();
+    assertThat(placed).hasSize(1);
+    assertThat(runs("run-preempted", null, null)).hasSize(8);
+    assertThat(cluster.oracle().violations()).isEmpty();
+  }
 }
