--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunningTaskViews.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunningTaskViews.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -43,7 +44,7 @@
 
   /** Expectations that the running tasks of a step share, in steady time. */
   private record StepOutlook(
-      boolean hasWaitingTasks,
+      boolean hasTasksToRestart,
       long taskMillis,
       long followingMillis,
       long objectiveMillis,
@@ -65,6 +66,7 @@
       long wallMillis) {
     List<PlanView.RunningTask> views = new ArrayList<>();
     Map<StepId, StepOutlook> outlooks = new HashMap<>();
+    Set<StepId> stopping = stoppingSteps(workerStates);
     for (WorkerState workerState : workerStates) {
       for (Attempt attempt : workerState.attempts()) {
         Job job = jobsById.get(attempt.key().task().job());
@@ -92,7 +94,8 @@
         if (policy.has(Feature.STOP_HISTORY)) {
           StepOutlook outlook =
               outlooks.computeIfAbsent(
-                  step, key -> outlook(job, key, spec, nowMillis - wallMillis));
+                  step,
+                  key -> outlook(job, key, spec, stopping.contains(key), nowMillis - wallMillis));
           view = withStopEffects(view, spec, outlook, nowMillis);
         }
         views.add(view);
@@ -101,6 +104,19 @@
     return views;
   }
 
+  /** Returns the steps of which runs are being stopped, so that their tasks will wait again. */
+  private static Set<StepId> stoppingSteps(Collection<WorkerState> workerStates) {
+    Set<StepId> steps = new HashSet<>();
+    for (WorkerState workerState : workerStates) {
+      for (Attempt attempt : workerState.attempts()) {
+        if (attempt.isCurrent() && attempt.isStopRequested()) {
+          steps.add(attempt.key().task().step());
+        }
+      }
+    }
+    return steps;
+  }
+
   private PlanView.RunningTask view(
       WorkerState workerState,
       Attempt attempt,
@@ -120,14 +136,15 @@
         attempt.remainingMillis(durationEstimator.taskMillis(submission, spec), nowMillis));
   }
 
-  private StepOutlook outlook(Job job, StepId step, StepSpec spec, long steadyMinusWall) {
+  private StepOutlook outlook(
+      Job job, StepId step, StepSpec spec, boolean stopping, long steadyMinusWall) {
     Submission submission = job.submission();
     long due = submission.request().schedule().dueMillis(step.occurrence());
     long since = (due > 0 ? due : submission.acceptedAtMillis()) + steadyMinusWall;
     long objective = durationEstimator.objectiveMillis(submission);
     long taskMillis = durationEstimator.taskMillis(submission, spec);
     return new StepOutlook(
-        hasWaitingTasks(job, step),
+        stopping || hasWaitingTasks(job, step),
         taskMillis,
         durationEstimator.criticalPathMillis(submission, step.step()) - taskMillis,
         since + objective,
@@ -143,12 +160,12 @@
         .anyMatch(task -> task.state() == TaskProgress.State.WAITING);
   }
 
-  /** Adds what a stop would change. A step with waiting tasks ends no sooner than these. */
+  /** Adds what a stop would change. A step ends no sooner than its tasks that have to restart. */
   private PlanView.RunningTask withStopEffects(
       PlanView.RunningTask run, StepSpec spec, StepOutlook outlook, long nowMillis) {
     long restoreMillis = spec.checkpoints() ? policy.restoreMillis() : 0;
     long remainingMillis =
-        outlook.hasWaitingTasks()
+        outlook.hasTasksToRestart()
             ? Math.max(run.remainingMillis(), outlook.taskMillis())
             : run.remainingMillis();
     long afterRestartMillis =
