--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Departures.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Departures.java
@@ -116,8 +116,7 @@
               false,
               PlanView.Suspects.NONE,
               workerStates,
-              nowMillis,
-              wallMillis);
+              nowMillis - wallMillis);
       leaving.add(
           new DepartureMoves.Leaving(
               pending, leaveMillis, attempt.remainingMillis(pending.durationMillis(), nowMillis)));
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -147,13 +147,16 @@
                 guaranteed.contains(job.submission().id()),
                 suspectWaits.find(step, tasks, nowMillis),
                 workerStates,
-                nowMillis,
-                wallMillis));
+                nowMillis - wallMillis));
       }
     }
   }
 
-  /** Returns the view of a step of which the given tasks wait. */
+  /**
+   * Returns the view of a step of which the given tasks wait.
+   *
+   * @param steadyMinusWall steady time less wall-clock time
+   */
   PlanView.PendingStep pendingStep(
       Job job,
       Occurrence occurrence,
@@ -162,11 +165,10 @@
       boolean guaranteed,
       PlanView.Suspects suspects,
       Collection<WorkerState> workerStates,
-      long nowMillis,
-      long wallMillis) {
+      long steadyMinusWall) {
     Submission submission = job.submission();
     long due = submission.request().schedule().dueMillis(occurrence.number());
-    long waitingSince = (due > 0 ? due : submission.acceptedAtMillis()) + nowMillis - wallMillis;
+    long waitingSince = (due > 0 ? due : submission.acceptedAtMillis()) + steadyMinusWall;
     long objective = durationEstimator.objectiveMillis(submission);
     Set<WorkerId> excludedWorkers = workersOutside(submission, workerStates);
     step.tasks().forEach(task -> excludedWorkers.addAll(task.failedOn()));
