--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchEvents.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchEvents.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.place.Closures;
+import org.peridotroute.scheduler.plan.DepartureMoves;
 import org.peridotroute.scheduler.plan.PlacementDecision;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.Time;
@@ -74,6 +75,22 @@
         decision.beneficiary());
   }
 
+  /** Reports that a run is stopped because its worker leaves. */
+  void onMoved(TaskId task, int run, DepartureMoves.Leaving leaving) {
+    events.info(
+        "run-moved",
+        "job",
+        task.job(),
+        "task",
+        task,
+        "run",
+        run,
+        "leaveMillis",
+        leaving.leaveMillis(),
+        "expectedMillis",
+        leaving.remainingMillis());
+  }
+
   void onRunEnded(
       WorkerState workerState, Attempt attempt, RunEnd end, String evidence, boolean counted) {
     List<Object> fields =
@@ -111,6 +128,45 @@
     events.info("run-ended", fields.toArray());
   }
 
+  /**
+   * Reports a run that ended without result.
+   *
+   * @param lostCoreSeconds work that the end of the run lost
+   * @param totalCoreSeconds work lost by this cause during the term
+   * @param stops how often preemption has stopped the task during the term
+   */
+  void onWorkLost(
+      Job job,
+      StepProgress step,
+      Attempt attempt,
+      LostWork.Cause cause,
+      double lostCoreSeconds,
+      double totalCoreSeconds,
+      int stops) {
+    events.info(
+        "work-lost",
+        "job",
+        job.submission().id(),
+        "task",
+        attempt.key().task(),
+        "run",
+        attempt.key().run(),
+        "outcome",
+        cause,
+        "priority",
+        job.submission().terms().priority(),
+        "saves",
+        step.spec().checkpoints(),
+        "coreSeconds",
+        Math.round(lostCoreSeconds),
+        "totalCoreSeconds",
+        Math.round(totalCoreSeconds),
+        "stops",
+        stops,
+        "for",
+        attempt.beneficiary() == null ? "" : attempt.beneficiary());
+  }
+
   /**
    * Reports the end of a job.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -24,7 +24,6 @@
 import org.peridotroute.scheduler.plan.CapacityClaim;
 import org.peridotroute.scheduler.plan.PlacementDecision;
 import org.peridotroute.scheduler.plan.Placer;
-import org.peridotroute.scheduler.plan.PlanSettings;
 import org.peridotroute.scheduler.plan.PlanView;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.KeyedLog;
@@ -74,10 +73,14 @@
   private final Placer placer;
   private final Journal journal;
   private final WorkerManager workerManager;
+  private final RunStopper runStopper;
+  private final Departures departures;
   private final WorkerRecords workerRecords;
   private final DurationEstimator durationEstimator = new DurationEstimator();
   private final SpeedEstimates speeds;
   private final WorkerHealth health;
+  private final StopHistory stopHistory = new StopHistory();
+  private final LostWork lostWork;
   private final PlanViewBuilder viewBuilder;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<StepId, CapacityClaim> claims = new HashMap<>();
@@ -145,6 +148,7 @@
     loadMeter = new LoadMeter(term, durationEstimator);
     time = ports.time();
     dispatchEvents = new DispatchEvents(ports.events(), time, term, durationEstimator);
+    lostWork = new LostWork(stopHistory, dispatchEvents, time);
     placer = ports.placer();
     closureBound = new ClosureBound(settings.policy().closureMillis());
     boolean conduct = settings.policy().has(Feature.WORKER_CONDUCT);
@@ -155,11 +159,7 @@
                 time, ports.events(), jobs, durationEstimator, inherited, this::storeConduct)
             : new FailureQuarantine(time);
     viewBuilder =
-        new PlanViewBuilder(
-            durationEstimator,
-            speeds,
-            settings.stopMillis() + PlanSettings.START_MARGIN_MILLIS,
-            settings.policy());
+        new PlanViewBuilder(durationEstimator, speeds, stopHistory, settings, time.steadyMillis());
     journal =
         new Journal(
             ports.log(),
@@ -172,6 +172,8 @@
     workerManager =
         new WorkerManager(
             ports.gateway(), settings, term, ports.control(), time, ports.events(), this);
+    runStopper = new RunStopper(workerManager, time);
+    departures = new Departures(viewBuilder, runStopper, dispatchEvents, settings.stopMillis());
     inherited.forEach(workerManager::inherit);
     workerRecords = new WorkerRecords(inherited, journal::store, time.steadyMillis());
   }
@@ -243,7 +245,7 @@
     }
     job.cancel();
     storeProgress(job);
-    stopRuns(job);
+    runStopper.stopRuns(job);
   }
 
   /**
@@ -357,10 +359,9 @@
             view.pendingSteps().stream()
                 .map(PlanView.PendingStep::step)
                 .collect(Collectors.toSet()));
-    if (view.pendingSteps().isEmpty()) {
-      return;
-    }
-    for (PlacementDecision decision : placer.decide(view)) {
+    List<PlacementDecision> decisions =
+        view.pendingSteps().isEmpty() ? List.of() : placer.decide(view);
+    for (PlacementDecision decision : decisions) {
       if (decision instanceof PlacementDecision.Start start) {
         claims.remove(start.step());
         assignTasks(start, now);
@@ -370,6 +371,9 @@
         preempt(preempt);
       }
     }
+    if (settings.policy().has(Feature.STOP_HISTORY)) {
+      departures.moveRuns(view, decisions, workerManager.workers(), jobs, wall);
+    }
   }
 
   private PlanView buildView(PlanViewBuilder builder, Map<JobId, Job> among, long now, long wall) {
@@ -468,42 +472,7 @@
       return;
     }
     dispatchEvents.onPreempted(decision, step);
-    if (step.spec().gang()) {
-      stopStep(step, decision.run());
-    } else {
-      stopTask(step, decision.task().index(), decision.run());
-    }
-  }
-
-  private void stopStep(StepProgress step, int run) {
-    for (int i = 0; i < step.tasks().size(); i++) {
-      stopTask(step, i, run);
-    }
-  }
-
-  private void stopTask(StepProgress step, int index, int run) {
-    TaskProgress task = step.tasks().get(index);
-    if (task.state() != TaskProgress.State.ASSIGNED || task.run() != run) {
-      return;
-    }
-    Attempt attempt =
-        workerManager
-            .getOrCreate(task.worker())
-            .attemptsByKey()
-            .get(new Attempt.Key(new TaskId(step.id(), index), run));
-    if (attempt != null) {
-      attempt.requestStop(time.steadyMillis());
-    }
-  }
-
-  private void stopRuns(Job job) {
-    for (WorkerState workerState : workerManager.workers()) {
-      for (Attempt attempt : workerState.attempts()) {
-        if (attempt.key().task().job().equals(job.submission().id())) {
-          attempt.requestStop(time.steadyMillis());
-        }
-      }
-    }
+    runStopper.preempt(decision, step);
   }
 
   private void storeProgress(Job job) {
@@ -543,16 +512,19 @@
     if (!current) {
       return;
     }
+    if (settings.policy().has(Feature.STOP_HISTORY)) {
+      lostWork.onRunEnded(job, step, attempt, end, checkpoint);
+    }
     health.onRunEnded(workerState, attempt, end);
     if (end == RunEnd.DONE && attempt.state() == Attempt.State.RUNNING) {
       speeds.addRun(job.submission(), step.spec(), workerState, attempt, time.steadyMillis());
     }
     if (step.spec().gang() && end != RunEnd.DONE) {
-      stopStep(step, attempt.key().run());
+      runStopper.stopStep(step, attempt.key().run());
     }
     if (job.phase().isEnded()) {
       dispatchEvents.onJobEnded(job, task);
-      stopRuns(job);
+      runStopper.stopRuns(job);
     }
     storeProgress(job);
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -11,13 +11,14 @@
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.Configuration;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.PolicySettings;
-import org.peridotroute.scheduler.model.StepId;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.place.AllowedRegions;
 import org.peridotroute.scheduler.plan.CapacityClaim;
+import org.peridotroute.scheduler.plan.PlanSettings;
 import org.peridotroute.scheduler.plan.PlanView;
 import org.peridotroute.scheduler.table.Job;
 import org.peridotroute.scheduler.table.Occurrence;
@@ -29,48 +30,56 @@
  */
 final class PlanViewBuilder {
   /** Multiple of its objective after which completing a job is of no use, as the users specify. */
-  private static final long EXPIRY_FACTOR = 3;
+  static final long EXPIRY_FACTOR = 3;
 
   private final DurationEstimator durationEstimator;
   private final SpeedEstimates speeds;
+
+  /** Time within which a run should have ended after its stop was requested. */
   private final long maxStopMillis;
+
   private final PolicySettings policy;
   private final UrgentDemand urgentDemand;
   private final SuspectWaits suspectWaits;
+  private final RunningTaskViews runningTaskViews;
+  private final StopLimiter stopLimiter;
 
   /**
    * Creates a builder.
    *
-   * @param maxStopMillis time within which a run should have ended after its stop was requested
-   * @param policy optional policies
+   * @param termStartMillis steady time at which the term began
    */
   PlanViewBuilder(
       DurationEstimator durationEstimator,
       SpeedEstimates speeds,
-      long maxStopMillis,
-      PolicySettings policy) {
-    this(durationEstimator, speeds, maxStopMillis, policy, new UrgentDemand(), new SuspectWaits());
-  }
-
-  private PlanViewBuilder(
-      DurationEstimator durationEstimator,
-      SpeedEstimates speeds,
-      long maxStopMillis,
-      PolicySettings policy,
-      UrgentDemand urgentDemand,
-      SuspectWaits suspectWaits) {
-    this.policy = policy;
-    this.maxStopMillis = maxStopMillis;
+      StopHistory stopHistory,
+      DispatchSettings settings,
+      long termStartMillis) {
     this.durationEstimator = durationEstimator;
     this.speeds = speeds;
-    this.urgentDemand = urgentDemand;
-    this.suspectWaits = suspectWaits;
+    policy = settings.policy();
+    maxStopMillis = settings.stopMillis() + PlanSettings.START_MARGIN_MILLIS;
+    urgentDemand = new UrgentDemand();
+    suspectWaits = new SuspectWaits();
+    runningTaskViews =
+        new RunningTaskViews(durationEstimator, speeds, policy, stopHistory, maxStopMillis);
+    stopLimiter = new StopLimiter(settings, termStartMillis);
+  }
+
+  private PlanViewBuilder(PlanViewBuilder original) {
+    durationEstimator = original.durationEstimator;
+    speeds = original.speeds;
+    policy = original.policy;
+    maxStopMillis = original.maxStopMillis;
+    urgentDemand = original.urgentDemand.copy();
+    suspectWaits = original.suspectWaits.copy();
+    runningTaskViews = original.runningTaskViews;
+    stopLimiter = original.stopLimiter;
   }
 
   /** Returns a copy for a view that no pass decides on; it leaves this builder as it is. */
   PlanViewBuilder copy() {
-    return new PlanViewBuilder(
-        durationEstimator, speeds, maxStopMillis, policy, urgentDemand.copy(), suspectWaits.copy());
+    return new PlanViewBuilder(this);
   }
 
   PlanView build(
@@ -90,13 +99,10 @@
     }
     suspectWaits.endPass();
     List<PlanView.WorkerView> workers = new ArrayList<>();
-    List<PlanView.RunningTask> runningTasks = new ArrayList<>();
-    Map<StepId, Map<WorkerId, String>> racksByStep = speeds.racksByStep(workerStates);
     for (WorkerState workerState : workerStates) {
       if (workerState.info() != null && workerState.isUsable(nowMillis)) {
         workers.add(workerView(workerState, jobsById, nowMillis));
       }
-      addRunningTasks(runningTasks, workerState, jobsById, guaranteed, racksByStep, nowMillis);
     }
     long urgentReserve =
         urgentDemand.updateHeadroom(
@@ -105,10 +111,13 @@
         nowMillis,
         workers,
         pendingSteps,
-        runningTasks,
+        runningTaskViews.build(workerStates, jobsById, guaranteed, nowMillis, wallMillis),
         urgentReserve,
         List.copyOf(claims),
-        organisationShares(pendingSteps, workerStates, jobsById, configuration));
+        organisationShares(pendingSteps, workerStates, jobsById, configuration),
+        policy.has(Feature.STOP_HISTORY)
+            ? stopLimiter.limits(workerStates, pendingSteps, jobsById, nowMillis)
+            : PlanView.StopLimits.NONE);
   }
 
   /** Returns the urgent jobs that the guarantees of their organisations cover, oldest first. */
@@ -167,42 +176,64 @@
       Collection<WorkerState> workerStates,
       long nowMillis,
       long wallMillis) {
-    Submission submission = job.submission();
-    long steadyMinusWall = nowMillis - wallMillis;
-    PlanView.JobView jobView =
-        new PlanView.JobView(submission.organisation(), durationEstimator.coreSeconds(submission));
     for (Occurrence occurrence : job.openOccurrences()) {
-      long due = submission.request().schedule().dueMillis(occurrence.number());
-      long waitingSince = (due > 0 ? due : submission.acceptedAtMillis()) + steadyMinusWall;
-      long objective = durationEstimator.objectiveMillis(submission);
       for (StepProgress step : occurrence.steps()) {
         List<Integer> tasks = waitingTasks(step);
         boolean complete = !step.spec().gang() || tasks.size() == step.tasks().size();
         if (tasks.isEmpty() || !complete || !occurrence.isReady(step)) {
           continue;
         }
-        Set<WorkerId> excludedWorkers = workersOutside(submission, workerStates);
-        step.tasks().forEach(task -> excludedWorkers.addAll(task.failedOn()));
         pendingSteps.add(
-            new PlanView.PendingStep(
-                step.id(),
-                step.spec(),
-                submission.service(),
+            pendingStep(
+                job,
+                occurrence,
+                step,
                 tasks,
-                submission.terms().priority(),
-                guaranteed.contains(submission.id()),
-                waitingSince,
-                waitingSince + objective,
-                waitingSince + EXPIRY_FACTOR * objective,
-                durationEstimator.taskMillis(submission, step.spec()),
-                durationEstimator.criticalPathMillis(submission, step.id().step()),
-                excludedWorkers,
+                guaranteed.contains(job.submission().id()),
                 suspectWaits.find(step, tasks, nowMillis),
-                jobView));
+                workerStates,
+                nowMillis - wallMillis));
       }
     }
   }
 
+  /**
+   * Returns the view of a step of which the given tasks wait.
+   *
+   * @param steadyMinusWall steady time less wall-clock time
+   */
+  PlanView.PendingStep pendingStep(
+      Job job,
+      Occurrence occurrence,
+      StepProgress step,
+      List<Integer> tasks,
+      boolean guaranteed,
+      PlanView.Suspects suspects,
+      Collection<WorkerState> workerStates,
+      long steadyMinusWall) {
+    Submission submission = job.submission();
+    long due = submission.request().schedule().dueMillis(occurrence.number());
+    long waitingSince = (due > 0 ? due : submission.acceptedAtMillis()) + steadyMinusWall;
+    long objective = durationEstimator.objectiveMillis(submission);
+    Set<WorkerId> excludedWorkers = workersOutside(submission, workerStates);
+    step.tasks().forEach(task -> excludedWorkers.addAll(task.failedOn()));
+    return new PlanView.PendingStep(
+        step.id(),
+        step.spec(),
+        submission.service(),
+        tasks,
+        submission.terms().priority(),
+        guaranteed,
+        waitingSince,
+        waitingSince + objective,
+        waitingSince + EXPIRY_FACTOR * objective,
+        durationEstimator.taskMillis(submission, step.spec()),
+        durationEstimator.criticalPathMillis(submission, step.id().step()),
+        excludedWorkers,
+        suspects,
+        new PlanView.JobView(submission.organisation(), durationEstimator.coreSeconds(submission)));
+  }
+
   /** Returns the workers outside the regions in which a job may run. */
   private Set<WorkerId> workersOutside(
       Submission submission, Collection<WorkerState> workerStates) {
@@ -294,44 +325,4 @@
         speeds.slowdown(workerState)
             * (workerState.info().coldMillis() > 0 ? policy.coldFactor() : 1));
   }
-
-  private void addRunningTasks(
-      List<PlanView.RunningTask> runningTasks,
-      WorkerState workerState,
-      Map<JobId, Job> jobsById,
-      Set<JobId> guaranteed,
-      Map<StepId, Map<WorkerId, String>> racksByStep,
-      long nowMillis) {
-    for (Attempt attempt : workerState.attempts()) {
-      Job job = jobsById.get(attempt.key().task().job());
-      boolean preemptible =
-          attempt.isCurrent()
-              && !attempt.isStopRequested()
-              && attempt.state() != Attempt.State.PLANNED
-              && job != null;
-      if (!preemptible) {
-        continue;
-      }
-      StepSpec spec = job.submission().request().steps().get(attempt.key().task().step().step());
-      if (spec.service()) {
-        continue;
-      }
-      runningTasks.add(
-          new PlanView.RunningTask(
-              attempt.key().task(),
-              attempt.key().run(),
-              workerState.id(),
-              attempt.held(),
-              job.submission().terms().priority(),
-              guaranteed.contains(job.submission().id()),
-              spec.gang(),
-              attempt.unsavedMillis(spec.checkpoints(), nowMillis),
-              attempt.remainingMillis(
-                  speeds.expectedMillis(
-                      durationEstimator.taskMillis(job.submission(), spec),
-                      workerState,
-                      spec.gang() ? racksByStep.get(attempt.key().task().step()) : null),
-                  nowMillis)));
-    }
-  }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/PlanView.java
@@ -21,6 +21,7 @@
  * @param claims capacity that earlier passes are freeing for pending steps
  * @param organisations guarantee and use of each organisation with pending or running tasks, by
  *     name
+ * @param stopLimits what preemption may do in this pass
  */
 public record PlanView(
     long nowMillis,
@@ -29,7 +30,8 @@
     List<RunningTask> runningTasks,
     long urgentReserve,
     List<CapacityClaim> claims,
-    Map<String, OrganisationShare> organisations) {
+    Map<String, OrganisationShare> organisations,
+    StopLimits stopLimits) {
   /** Copies the collections. */
   public PlanView {
     workers = List.copyOf(workers);
@@ -50,6 +52,26 @@
     this(nowMillis, workers, pendingSteps, runningTasks, urgentReserve, claims, Map.of());
   }
 
+  /** Creates a view without limits on preemption. */
+  public PlanView(
+      long nowMillis,
+      List<WorkerView> workers,
+      List<PendingStep> pendingSteps,
+      List<RunningTask> runningTasks,
+      long urgentReserve,
+      List<CapacityClaim> claims,
+      Map<String, OrganisationShare> organisations) {
+    this(
+        nowMillis,
+        workers,
+        pendingSteps,
+        runningTasks,
+        urgentReserve,
+        claims,
+        organisations,
+        StopLimits.NONE);
+  }
+
   /**
    * What an organisation is guaranteed and what it uses.
    *
@@ -73,6 +95,17 @@
     public static final JobView UNKNOWN = new JobView("", 0);
   }
 
+  /**
+   * Limits on preemption.
+   *
+   * @param permitted whether runs may be stopped at all
+   * @param maxClaimedTasks number of tasks that may wait for capacity that is being freed for them
+   */
+  public record StopLimits(boolean permitted, long maxClaimedTasks) {
+    /** No limits. */
+    public static final StopLimits NONE = new StopLimits(true, Long.MAX_VALUE);
+  }
+
   /**
    * A worker that accepts new work.
    *
@@ -255,6 +288,9 @@
    * @param gang whether the whole step ends with it
    * @param unsavedMillis run time that a stop would lose
    * @param remainingMillis expected time until it ends
+   * @param stops how often preemption has stopped the task during this term
+   * @param usefulness how useful the completion of its job will be if it runs on
+   * @param usefulnessIfStopped how useful the completion of its job will be if it is stopped now
    */
   public record RunningTask(
       TaskId task,
@@ -265,5 +301,34 @@
       boolean guaranteed,
       boolean gang,
       long unsavedMillis,
-      long remainingMillis) {}
+      long remainingMillis,
+      int stops,
+      Usefulness usefulness,
+      Usefulness usefulnessIfStopped) {
+    /** Creates a task without history whose job a stop makes no less useful. */
+    public RunningTask(
+        TaskId task,
+        int run,
+        WorkerId worker,
+        Capacity held,
+        int priority,
+        boolean guaranteed,
+        boolean gang,
+        long unsavedMillis,
+        long remainingMillis) {
+      this(
+          task,
+          run,
+          worker,
+          held,
+          priority,
+          guaranteed,
+          gang,
+          unsavedMillis,
+          remainingMillis,
+          0,
+          Usefulness.NONE,
+          Usefulness.NONE);
+    }
+  }
 }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -1,9 +1,6 @@
 package org.peridotroute.standin.world;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,21 +23,18 @@
 import org.peridotroute.scheduler.model.OrganisationAccess;
 import org.peridotroute.scheduler.model.PolicySettings;
 import org.peridotroute.scheduler.model.Queue;
-import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.node.JobExplainer;
 import org.peridotroute.scheduler.node.RequestOutcome;
 import org.peridotroute.scheduler.node.SchedulerVm;
-import org.peridotroute.scheduler.node.SchedulerVmSettings;
 import org.peridotroute.scheduler.node.SubmitResult;
 import org.peridotroute.scheduler.plan.GangFirstPlacer;
 import org.peridotroute.scheduler.plan.PlanSettings;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.KeyedRecord;
 import org.peridotroute.scheduler.port.Topic;
-import org.peridotroute.scheduler.port.WorkerGateway;
 
 /** Simulates VMs, a log and workers on virtual time, with faults. Used by one thread. */
 public final class SimulatedCluster {
@@ -76,7 +70,6 @@
   private static final String CLOSURE_PREFIX = "closed/";
 
   private static final long CANCEL_MILLIS = 3_000;
-  private static final long TICK_MILLIS = 50;
   private static final long POLL_MILLIS = 10;
   private static final double SLOW_CLOCK_RATE = 0.98;
 
@@ -92,107 +85,18 @@
   private final LogModel log = new LogModel();
   private final SimulationOracle oracle =
       new SimulationOracle(time, WORKER_CAPACITY, CANCEL_MILLIS, CLOSURE_MILLIS);
-  private final Map<String, Vm> vms = new LinkedHashMap<>();
+  private final Map<String, SimulatedVm> vms = new LinkedHashMap<>();
   private final Map<WorkerId, WorkerHost> workers = new LinkedHashMap<>();
   private final SimulatedWorkerGateway workerGateway;
-  private final Map<JobId, JobRequest> requests = new HashMap<>();
+  private final SimulatedTasks tasks;
   private final Set<JobId> accepted = new HashSet<>();
   private final Set<JobId> cancelled = new HashSet<>();
   private final Events events;
-  private final Map<TaskId, Long> crashAfterMillis = new HashMap<>();
-  private final Set<JobId> failingJobs = new HashSet<>();
-  private double failingTaskShare;
   private boolean crashedWorkersKeepId;
   private int incarnationCount;
   private int successorCount;
   private boolean retrying = true;
 
-  /** A scheduler VM, whose process can be killed, restarted and paused. */
-  private final class Vm {
-    private final String name;
-    private final Deque<Runnable> inbox = new ArrayDeque<>();
-    private SchedulerVm scheduler;
-    private boolean paused;
-    private LogFault logFault = LogFault.NONE;
-    private int processNumber;
-
-    Vm(String name) {
-      this.name = name;
-    }
-
-    void boot() {
-      processNumber++;
-      inbox.clear();
-      int bootNumber = processNumber;
-      Executor control = action -> enqueue(bootNumber, action);
-      SchedulerVmSettings settings =
-          SchedulerVmSettings.newBuilder()
-              .setVm(name)
-              .setIncarnation("life" + incarnationCount++)
-              .setDispatch(dispatchSettings)
-              .setReadWaitMillis(1_500)
-              .setHeartbeatWaitMillis(800)
-              .setPlannerReadIntervalMillis(20)
-              .setFollowerReadIntervalMillis(1_000)
-              .setProgressWaitMillis(isCloseFollower() ? 250 : 800)
-              .setProgressReadIntervalMillis(isCloseFollower() ? 150 : 1_000)
-              .setPlannerTimeoutMillis(isCloseFollower() ? 900 : 1_600)
-              .setLogTimeoutMillis(1_800)
-              .setRequestTimeoutMillis(2_000)
-              .build();
-      Dispatcher.Ports ports =
-          new Dispatcher.Ports(
-              new SimulatedLogClient(time, random, log, () -> logFault),
-              workerGateway,
-              control,
-              time,
-              events,
-              new GangFirstPlacer(new PlanSettings(3, 3_400, 900, dispatchSettings.policy())));
-      scheduler = new SchedulerVm(settings, ports, new Decoder());
-      control.execute(scheduler::start);
-      tick(bootNumber);
-    }
-
-    private boolean isCloseFollower() {
-      return dispatchSettings.policy().has(Feature.FAST_TAKEOVER) && !name.equals("vm-0");
-    }
-
-    private void enqueue(int bootNumber, Runnable action) {
-      if (bootNumber != processNumber) {
-        return;
-      }
-      inbox.add(action);
-      if (inbox.size() == 1) {
-        time.after(0, this::drain);
-      }
-    }
-
-    private void drain() {
-      while (!paused && scheduler != null && !inbox.isEmpty()) {
-        inbox.poll().run();
-        if (inbox.isEmpty() && scheduler != null) {
-          scheduler.step();
-        }
-      }
-    }
-
-    private void tick(int bootNumber) {
-      if (bootNumber == processNumber && scheduler != null) {
-        if (!paused) {
-          drain();
-          scheduler.step();
-        }
-        time.after(TICK_MILLIS, () -> tick(bootNumber));
-      }
-    }
-
-    void kill() {
-      processNumber++;
-      scheduler = null;
-      inbox.clear();
-    }
-  }
-
   /** Returns the objects that the simulation holds in memory; the records only name them. */
   private final class Decoder implements SchedulerVm.Decoder {
     @Override
@@ -218,64 +122,6 @@
     }
   }
 
-  /** Derives the behaviour of tasks from the submitted jobs. */
-  private final class TaskEnvironment implements WorkerModel.Environment {
-    @Override
-    public WorkerModel.Behaviour behaviour(TaskId task, int run) {
-      StepSpec step = requests.get(task.job()).steps().get(task.step().step());
-      boolean fails = random.nextDouble() < failingTaskShare || failingJobs.contains(task.job());
-      return new WorkerModel.Behaviour(
-          step.reserved(),
-          step.service() ? Long.MAX_VALUE : step.estimateMillis(),
-          fails,
-          step.gang() ? step.count() : 0,
-          crashAfterMillis.getOrDefault(task, Long.MAX_VALUE));
-    }
-
-    @Override
-    public boolean failsBy(WorkerFault fault) {
-      return fault.failingShare() > 0 && random.nextDouble() < fault.failingShare();
-    }
-
-    @Override
-    public void onCrash(WorkerModel worker) {
-      crashWorker(new WorkerId(worker.id()));
-    }
-
-    @Override
-    public int countRunningMembers(TaskId task, int run) {
-      int count = 0;
-      StepSpec step = requests.get(task.job()).steps().get(task.step().step());
-      for (int i = 0; i < step.count(); i++) {
-        TaskId member = new TaskId(task.step(), i);
-        for (WorkerHost host : workers.values()) {
-          count += host.incarnation.runs(member, run) ? 1 : 0;
-        }
-      }
-      return count;
-    }
-
-    @Override
-    public void onMemberEnded(TaskId task, int run, WorkerGateway.RunEnd end) {
-      StepSpec step = requests.get(task.job()).steps().get(task.step().step());
-      for (int i = 0; i < step.count(); i++) {
-        for (WorkerHost host : workers.values()) {
-          host.incarnation.endMember(new TaskId(task.step(), i), run, end);
-        }
-      }
-    }
-
-    @Override
-    public long maxLeaseMillis() {
-      return dispatchSettings.leaseMillis();
-    }
-
-    @Override
-    public long stopMillis() {
-      return dispatchSettings.stopMillis() / 2;
-    }
-  }
-
   /** Creates a cluster without optional features. */
   public SimulatedCluster(long seed, int vmCount, int workerCount, Events events) {
     this(seed, vmCount, workerCount, events, Set.of());
@@ -307,6 +153,7 @@
             new PolicySettings(features, CLOSURE_MILLIS, 1, 0, 1, Map.of()));
     random = new Random(seed);
     this.events = events;
+    tasks = new SimulatedTasks(random, workers, dispatchSettings, this::crashWorker);
     workerGateway =
         new SimulatedWorkerGateway(
             time, random, oracle, workers, dispatchSettings.callTimeoutMillis());
@@ -319,13 +166,32 @@
       setListed(id, true);
     }
     for (int i = 0; i < vmCount; i++) {
-      Vm vm = new Vm("vm-" + i);
+      SimulatedVm vm = newVm("vm-" + i);
       vms.put(vm.name, vm);
       vm.boot();
     }
     advanceWorkers();
   }
 
+  private SimulatedVm newVm(String name) {
+    return new SimulatedVm(name, time, control -> newProcess(name, control));
+  }
+
+  private SchedulerVm newProcess(String name, Executor control) {
+    Dispatcher.Ports ports =
+        new Dispatcher.Ports(
+            new SimulatedLogClient(time, random, log, () -> vms.get(name).logFault),
+            workerGateway,
+            control,
+            time,
+            events,
+            new GangFirstPlacer(new PlanSettings(3, 3_400, 900, dispatchSettings.policy())));
+    return new SchedulerVm(
+        SimulatedVm.settings(name, "life" + incarnationCount++, dispatchSettings),
+        ports,
+        new Decoder());
+  }
+
   private void addWorker(WorkerId id, String dataCentre, String rack, String address) {
     workers.put(
         id,
@@ -374,6 +240,11 @@
     return List.copyOf(workers.keySet());
   }
 
+  /** Returns the capacity that the runs on a worker occupy. */
+  public Capacity usedCapacity(WorkerId id) {
+    return workers.get(id).incarnation.used();
+  }
+
   /** Returns the name of the first running VM that acts as planner, or empty if none does. */
   public Optional<String> planner() {
     return vms.values().stream()
@@ -384,7 +255,7 @@
 
   /** Returns whether a VM acts as planner. */
   public boolean isPlanning(String name) {
-    Vm vm = vms.get(name);
+    SimulatedVm vm = vms.get(name);
     return vm.scheduler != null && !vm.paused && vm.scheduler.isPlanning();
   }
 
@@ -395,7 +266,7 @@
       host.incarnation.terminate();
     }
     double rate = random.nextBoolean() ? SLOW_CLOCK_RATE : 1;
-    host.incarnation = new WorkerModel(id.value(), time, rate, new TaskEnvironment(), oracle);
+    host.incarnation = new WorkerModel(id.value(), time, rate, tasks, oracle);
     host.incarnation.setFault(host.fault);
   }
 
@@ -442,7 +313,7 @@
 
   /** Makes a task crash every worker that starts it. */
   public void setCrashing(TaskId task, long afterMillis) {
-    crashAfterMillis.put(task, afterMillis);
+    tasks.crashAfterMillis.put(task, afterMillis);
     oracle.onCrashingTask(task);
   }
 
@@ -500,7 +371,7 @@
 
   /** Kills a VM's process and starts another after a delay. */
   public void kill(String name, long downMillis) {
-    Vm vm = vms.get(name);
+    SimulatedVm vm = vms.get(name);
     vm.kill();
     int killedNumber = vm.processNumber;
     time.after(
@@ -515,7 +386,7 @@
 
   /** Pauses a VM's process for a while. Its clocks go on. */
   public void pause(String name, long millis) {
-    Vm vm = vms.get(name);
+    SimulatedVm vm = vms.get(name);
     vm.paused = true;
     time.after(
         millis,
@@ -547,12 +418,12 @@
 
   /** Makes all runs of a job fail. */
   public void setFailing(JobId id) {
-    failingJobs.add(id);
+    tasks.failingJobs.add(id);
   }
 
   /** Sets the share of runs that fail. */
   public void setFailingTasks(double share) {
-    failingTaskShare = share;
+    tasks.failingTaskShare = share;
   }
 
   /**
@@ -563,7 +434,7 @@
    * @param priority priority of its queue
    */
   public void submit(JobId id, JobRequest request, int priority) {
-    requests.put(id, request);
+    tasks.requests.put(id, request);
     oracle.onSubmitted(id, request);
     trySubmit(submission(id, request, priority));
   }
@@ -593,7 +464,7 @@
 
   /** Submits a job to one VM, without retries. */
   public CompletableFuture<RequestOutcome> submitAt(String name, JobId id, JobRequest request) {
-    requests.put(id, request);
+    tasks.requests.put(id, request);
     oracle.onSubmitted(id, request);
     return vms.get(name)
         .scheduler
@@ -601,8 +472,9 @@
         .thenApply(SubmitResult::outcome);
   }
 
-  private Vm randomLiveVm() {
-    List<Vm> live = vms.values().stream().filter(vm -> vm.scheduler != null && !vm.paused).toList();
+  private SimulatedVm randomLiveVm() {
+    List<SimulatedVm> live =
+        vms.values().stream().filter(vm -> vm.scheduler != null && !vm.paused).toList();
     return live.isEmpty() ? null : live.get(random.nextInt(live.size()));
   }
 
@@ -610,7 +482,7 @@
     if (!retrying) {
       return;
     }
-    Vm vm = randomLiveVm();
+    SimulatedVm vm = randomLiveVm();
     boolean configured = vm != null && vm.scheduler.configuration() != null;
     if (!configured) {
       time.after(500, () -> trySubmit(submission));
@@ -631,7 +503,7 @@
 
   /** Cancels a job at a random VM, and retries until the cancellation is acknowledged. */
   public void cancel(JobId id) {
-    Vm vm = randomLiveVm();
+    SimulatedVm vm = randomLiveVm();
     if (vm == null) {
       time.after(500, () -> cancel(id));
       return;
@@ -673,7 +545,7 @@
   /** Returns the phase of a job on each running VM that knows it. */
   public List<JobPhase> phases(JobId id) {
     List<JobPhase> phases = new ArrayList<>();
-    for (Vm vm : vms.values()) {
+    for (SimulatedVm vm : vms.values()) {
       if (vm.scheduler != null) {
         vm.scheduler.phase(id).ifPresent(phases::add);
       }
