--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -192,32 +192,12 @@
     durationEstimator.onSubmitted(job.submission());
     for (Occurrence occurrence : job.openOccurrences()) {
       for (StepProgress step : occurrence.steps()) {
-        inheritAttempts(step);
+        InheritedAttempts.add(step, workerManager, time.steadyMillis());
       }
     }
     passNeeded = true;
   }
 
-  private void inheritAttempts(StepProgress step) {
-    boolean incomplete = step.spec().gang() && !step.isFullyAssigned();
-    for (int i = 0; i < step.tasks().size(); i++) {
-      TaskProgress task = step.tasks().get(i);
-      if (task.state() != TaskProgress.State.ASSIGNED) {
-        continue;
-      }
-      Attempt.Key key = new Attempt.Key(new TaskId(step.id(), i), task.run());
-      Attempt attempt =
-          new Attempt(
-              key, step.spec().reserved(), Attempt.State.UNCERTAIN, true, time.steadyMillis());
-      attempt.setProbationMillis(task.crashHistory().probationMillis());
-      attempt.markSettled(0);
-      if (incomplete) {
-        attempt.requestStop(time.steadyMillis());
-      }
-      workerManager.getOrCreate(task.worker()).attemptsByKey().put(key, attempt);
-    }
-  }
-
   /**
    * Cancels a job at the request of its caller.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
@@ -68,14 +67,13 @@
   private final Time time;
   private final Events events;
   private final Executor control;
-  private final Decoder decoder;
   private final Map<JobId, JobEntry> entries = new ConcurrentHashMap<>();
-  private final Map<WorkerId, WorkerInfo> registeredWorkers = new ConcurrentHashMap<>();
   private final Map<WorkerId, WorkerRecord> workerRecords = new HashMap<>();
   private final RequestWriter writer;
   private final TopicFollower requests;
   private final TopicFollower progress;
   private final TopicFollower configurations;
+  private final WorkerListing workerListing;
   private final TopicFollower workers;
   private final OperatorRecords operatorRecords;
   private final PlannerRole role;
@@ -97,7 +95,6 @@
   public SchedulerVm(SchedulerVmSettings settings, Dispatcher.Ports ports, Decoder decoder) {
     this.settings = settings;
     this.ports = ports;
-    this.decoder = decoder;
     log = ports.log();
     time = ports.time();
     events = ports.events();
@@ -120,8 +117,8 @@
             operatorRecords,
             settings.heartbeatWaitMillis(),
             settings.plannerReadIntervalMillis());
-    workers =
-        follower(Topic.WORKERS, new WorkerListener(), wait, settings.plannerReadIntervalMillis());
+    workerListing = new WorkerListing(decoder, () -> dispatcher);
+    workers = follower(Topic.WORKERS, workerListing, wait, settings.plannerReadIntervalMillis());
     role = new PlannerRole(settings, log, control, time, events);
     search = new JobSearch(requests, progress, entries, this::isPlanning);
     explainer =
@@ -460,7 +457,7 @@
         addToDispatcher(entry);
       }
     }
-    registeredWorkers.clear();
+    workerListing.clear();
     workers.start();
     requests.setReadIntervalMillis(settings.plannerReadIntervalMillis());
     step();
@@ -479,47 +476,6 @@
     progress.start();
   }
 
-  /** Handles the descriptions that workers publish of themselves. */
-  private final class WorkerListener implements TopicFollower.Listener {
-    @Override
-    public void onRecord(KeyedRecord record) {
-      if (dispatcher == null) {
-        return;
-      }
-      if (record.value() == null) {
-        removeWorker(record.key());
-        return;
-      }
-      Optional<WorkerInfo> decoded = decoder.decodeWorker(record.key(), record.value());
-      if (decoded.isEmpty()) {
-        return;
-      }
-      WorkerInfo info = decoded.get();
-      if (!info.equals(registeredWorkers.put(info.id(), info))) {
-        dispatcher.onWorkerListed(info);
-      }
-    }
-
-    @Override
-    public void onLoaded(Set<String> keys) {
-      registeredWorkers.keySet().stream()
-          .filter(id -> !keys.contains(id.value()))
-          .toList()
-          .forEach(id -> removeWorker(id.value()));
-    }
-
-    private void removeWorker(String key) {
-      registeredWorkers.keySet().stream()
-          .filter(id -> id.value().equals(key))
-          .toList()
-          .forEach(
-              id -> {
-                registeredWorkers.remove(id);
-                dispatcher.onWorkerUnlisted(id);
-              });
-    }
-  }
-
   /** Returns the explainer of placements. Control thread. */
   public JobExplainer explainer() {
     return explainer;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/GangFirstPlacer.java
@@ -353,7 +353,7 @@
           Comparator.<List<CapacityLedger.Entry>>comparingInt(
                   group ->
                       group.stream()
-                          .mapToInt(entry -> speedMismatch(pending, entry))
+                          .mapToInt(entry -> WorkerPreference.speedMismatch(pending, entry))
                           .max()
                           .orElse(0))
               .thenComparingLong(
@@ -374,7 +374,7 @@
         PlanView.PendingStep pending, List<CapacityLedger.Entry> group, int members) {
       Map<Integer, WorkerId> assignment = new LinkedHashMap<>();
       List<CapacityLedger.Entry> sorted = new ArrayList<>(group);
-      sorted.sort(entryPreference(pending));
+      sorted.sort(WorkerPreference.of(pending));
       int next = 0;
       for (CapacityLedger.Entry entry : sorted) {
         int count = entry.countFitting(pending, members - next);
@@ -387,30 +387,6 @@
       return assignment;
     }
 
-    /**
-     * Returns 1 if urgent work would run on a slow rack or other work on a fast rack, otherwise 0.
-     */
-    private static int speedMismatch(PlanView.PendingStep pending, CapacityLedger.Entry entry) {
-      boolean slow = entry.worker().slowdown() >= PlanSettings.SLOW_RACK_THRESHOLD;
-      return slow == (pending.priority() == 0) ? 1 : 0;
-    }
-
-    /**
-     * Prefers workers without recent failures, then those whose speed suits the work. Then it packs
-     * work that can be preempted without loss together and keeps other work away from it, so that
-     * whole workers can be reclaimed without loss. Finally it prefers the fullest worker.
-     */
-    private static Comparator<CapacityLedger.Entry> entryPreference(PlanView.PendingStep pending) {
-      int direction = pending.isPreemptibleWithoutLoss() ? -1 : 1;
-      return Comparator.<CapacityLedger.Entry>comparingInt(
-              entry -> entry.worker().consecutiveFailures())
-          .thenComparingInt(entry -> speedMismatch(pending, entry))
-          .thenComparingLong(
-              entry -> (long) direction * Long.signum(entry.preemptibleAccelerators()))
-          .thenComparingLong(entry -> entry.free().accelerators())
-          .thenComparingLong(entry -> entry.free().memoryMb());
-    }
-
     private void addStart(PlanView.PendingStep pending, Map<Integer, WorkerId> assignment) {
       if (!assignment.isEmpty()) {
         decisions.add(new PlacementDecision.Start(pending.step(), assignment));
@@ -590,7 +566,7 @@
     private CapacityLedger.Entry bestEntry(
         PlanView.PendingStep pending, List<CapacityLedger.Entry> entries) {
       CapacityLedger.Entry found = null;
-      Comparator<CapacityLedger.Entry> preference = entryPreference(pending);
+      Comparator<CapacityLedger.Entry> preference = WorkerPreference.of(pending);
       for (CapacityLedger.Entry entry : entries) {
         if (entry.countFitting(pending, 1) > 0
             && (found == null || preference.compare(entry, found) < 0)) {
