--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -13,22 +13,17 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import java.util.stream.IntStream;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.dispatch.DispatchSettings;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
 import org.peridotroute.scheduler.model.Capacity;
-import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.JobRequest;
-import org.peridotroute.scheduler.model.OrganisationAccess;
 import org.peridotroute.scheduler.model.PolicySettings;
-import org.peridotroute.scheduler.model.Queue;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.model.TaskId;
-import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.node.JobExplainer;
 import org.peridotroute.scheduler.node.RequestOutcome;
 import org.peridotroute.scheduler.node.SchedulerVm;
@@ -51,8 +46,6 @@
   /** Number of data centres, among which the racks are distributed in turn. */
   public static final int DATA_CENTRES = 2;
 
-  private static final int QUEUES = 3;
-
   /** Number of workers in a rack. */
   public static final int WORKERS_PER_RACK = 4;
 
@@ -71,8 +64,6 @@
   /** Time after which a closed data centre must get no more starts. */
   public static final long CLOSURE_MILLIS = 5_000;
 
-  private static final String CLOSURE_PREFIX = "closed/";
-
   private static final DispatchSettings DISPATCH_SETTINGS =
       new DispatchSettings(
           10_000,
@@ -155,7 +146,8 @@
               time,
               events,
               new GangFirstPlacer(new PlanSettings(3, 3_400, 900)));
-      scheduler = new SchedulerVm(settings, ports, new Decoder());
+      scheduler =
+          new SchedulerVm(settings, ports, new SimulatedRecords(id -> workers.get(id).info));
       control.execute(scheduler::start);
       tick(bootNumber);
     }
@@ -196,31 +188,6 @@
     }
   }
 
-  /** Returns the objects that the simulation holds in memory; the records only name them. */
-  private final class Decoder implements SchedulerVm.Decoder {
-    @Override
-    public Optional<Configuration> decodeConfiguration(byte[] value) {
-      return Optional.of(
-          new Configuration(
-              1,
-              IntStream.range(0, QUEUES).mapToObj(SimulatedCluster::queue).toList(),
-              List.of(new OrganisationAccess("org", List.of("key"), 8, List.of())),
-              List.of()));
-    }
-
-    @Override
-    public Optional<String> closedDataCentre(String key) {
-      return key.startsWith(CLOSURE_PREFIX)
-          ? Optional.of(key.substring(CLOSURE_PREFIX.length()))
-          : Optional.empty();
-    }
-
-    @Override
-    public Optional<WorkerInfo> decodeWorker(String id, byte[] value) {
-      return Optional.of(workers.get(new WorkerId(id)).info);
-    }
-  }
-
   /** Derives the behaviour of tasks from the submitted jobs. */
   private final class TaskEnvironment implements WorkerModel.Environment {
     @Override
@@ -305,21 +272,7 @@
   }
 
   private void addWorker(WorkerId id, String dataCentre, String rack, String address) {
-    workers.put(
-        id,
-        new WorkerHost(
-            new WorkerInfo(
-                id,
-                SERVICE,
-                address,
-                dataCentre,
-                rack,
-                List.of("a", rack),
-                WORKER_CAPACITY,
-                false,
-                0,
-                0,
-                0)));
+    workers.put(id, new WorkerHost(SimulatedRecords.worker(id, address, dataCentre, rack)));
     restartWorker(id);
   }
 
@@ -427,7 +380,10 @@
 
   /** Closes a data centre for new work, or opens it again. */
   public void setClosed(String dataCentre, boolean closed) {
-    append(Topic.CONFIGURATION, CLOSURE_PREFIX + dataCentre, closed ? new byte[] {1} : null);
+    append(
+        Topic.CONFIGURATION,
+        SimulatedRecords.closureKey(dataCentre),
+        closed ? new byte[] {1} : null);
     workers.values().stream()
         .filter(host -> host.info.dataCentre().equals(dataCentre))
         .forEach(host -> oracle.onClosed(host.info.id().value(), closed));
@@ -524,14 +480,7 @@
   public void submit(JobId id, JobRequest request, int priority) {
     requests.put(id, request);
     oracle.onSubmitted(id, request);
-    trySubmit(submission(id, request, priority));
-  }
-
-  /** Returns a queue with the terms of the jobs that are submitted with its priority. */
-  private static Queue queue(int priority) {
-    String name = "queue-" + priority;
-    return new Queue(
-        name, "simulated", "/" + name + "/", SERVICE, priority, 4, 3, 1_000, false, List.of());
+    trySubmit(SimulatedRecords.submission(id, request, priority, time.wallMillis()));
   }
 
   /** Returns the explainer of a VM; it may be asked while no event is being handled. */
@@ -539,22 +488,13 @@
     return vms.get(name).scheduler.explainer();
   }
 
-  private Submission submission(JobId id, JobRequest request, int priority) {
-    return new Submission(
-        id,
-        "org",
-        "queue-" + priority,
-        SERVICE,
-        queue(priority).terms(List.of()),
-        time.wallMillis(),
-        request);
-  }
-
   /** Submits a job to one VM, without retries. */
   public CompletableFuture<RequestOutcome> submitAt(String name, JobId id, JobRequest request) {
     requests.put(id, request);
     oracle.onSubmitted(id, request);
-    return vms.get(name).scheduler.submit(submission(id, request, 0), 2_000);
+    return vms.get(name)
+        .scheduler
+        .submit(SimulatedRecords.submission(id, request, 0, time.wallMillis()), 2_000);
   }
 
   private Vm randomLiveVm() {
