--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplainer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplainer.java
@@ -92,10 +92,7 @@
     if (organisation.isEmpty() && !queue.get().open()) {
       return refused("queue " + job.queue() + " admits only callers with an API key");
     }
-    Optional<List<String>> regions =
-        AllowedRegions.combine(
-            queue.get().allowedRegions(),
-            organisation.map(OrganisationAccess::allowedRegions).orElse(List.of()));
+    Optional<List<String>> regions = AllowedRegions.of(queue.get(), organisation);
     if (regions.isEmpty()) {
       return refused(
           "queue %s and organisation %s allow no region in common"
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/place/AllowedRegions.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/place/AllowedRegions.java
@@ -3,11 +3,26 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.peridotroute.scheduler.model.OrganisationAccess;
+import org.peridotroute.scheduler.model.Queue;
 
 /** Regions in which the tasks of a job may run, from what its queue and its organisation allow. */
 public final class AllowedRegions {
   private AllowedRegions() {}
 
+  /**
+   * Returns the regions in which the tasks of a job may run.
+   *
+   * @param queue its queue
+   * @param organisation its organisation, empty if its caller is not known
+   * @return as {@link #combine}
+   */
+  public static Optional<List<String>> of(Queue queue, Optional<OrganisationAccess> organisation) {
+    return combine(
+        queue.allowedRegions(),
+        organisation.map(OrganisationAccess::allowedRegions).orElse(List.of()));
+  }
+
   /**
    * Combines the regions that a queue and an organisation allow. An empty list allows all regions.
    *
