--- a/org.peridotroute.pgm.test/tst/org/peridotroute/pgm/ExplainCommandTest.java
+++ b/org.peridotroute.pgm.test/tst/org/peridotroute/pgm/ExplainCommandTest.java
@@ -58,7 +58,8 @@
           120,
           List.of("dc-2"),
           false,
-          0);
+          0,
+          Map.of("rack-2", 3));
 
   @TempDir Path folder;
   private final List<String> requests = new ArrayList<>();
@@ -115,6 +116,7 @@
             job 000000000000002a  queue batch  organisation le-goff  PENDING
             planner edge-1  epoch 17  configuration 4  view age 120 ms
             closed for new work: dc-2
+            rack rack-2: 3 workers accept no new work
 
             step 000000000000002a.0.0: waits, 13 tasks that start together
               place 3 of 5; priority 1, not guaranteed, usefulness LATE, waited 1200 ms
@@ -167,7 +169,8 @@
                     0,
                     List.of(),
                     true,
-                    1)));
+                    1,
+                    Map.of())));
     assertThat(explain(ID)).isEqualTo(ExitCode.OK);
     String text = out.toString(StandardCharsets.UTF_8);
     assertThat(text).contains("would stop 1 runs and claim their capacity");
--- a/org.peridotroute.pgm/src/org/peridotroute/pgm/ExplanationText.java
+++ b/org.peridotroute.pgm/src/org/peridotroute/pgm/ExplanationText.java
@@ -33,6 +33,11 @@
     if (!explanation.closedDataCentres().isEmpty()) {
       lines.add("closed for new work: " + String.join(", ", explanation.closedDataCentres()));
     }
+    explanation
+        .unavailableByRack()
+        .forEach(
+            (rack, count) ->
+                lines.add("rack %s: %d workers accept no new work".formatted(rack, count)));
     if (explanation.startsWithheld()) {
       lines.add("starts are withheld: the log or the list of workers is out of date");
     }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplainer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplainer.java
@@ -3,17 +3,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
-import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.OrganisationAccess;
 import org.peridotroute.scheduler.model.ProposedJob;
 import org.peridotroute.scheduler.model.Queue;
 import org.peridotroute.scheduler.model.Submission;
+import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.place.AllowedRegions;
-import org.peridotroute.scheduler.place.Closures;
 import org.peridotroute.scheduler.plan.PlacementExplainer;
 import org.peridotroute.scheduler.plan.PlacementExplanation;
 import org.peridotroute.scheduler.plan.Placer;
@@ -34,8 +37,8 @@
   private final Map<JobId, JobEntry> entries;
   private final Supplier<Dispatcher> dispatcher;
   private final Supplier<Optional<String>> planner;
-  private final Supplier<Configuration> configuration;
-  private final Supplier<Closures> closures;
+  private final OperatorRecords operatorRecords;
+  private final WorkerListing workerListing;
 
   JobExplainer(
       String vm,
@@ -44,16 +47,16 @@
       Map<JobId, JobEntry> entries,
       Supplier<Dispatcher> dispatcher,
       Supplier<Optional<String>> planner,
-      Supplier<Configuration> configuration,
-      Supplier<Closures> closures) {
+      OperatorRecords operatorRecords,
+      WorkerListing workerListing) {
     this.vm = vm;
     this.time = time;
     placementExplainer = new PlacementExplainer(placer);
     this.entries = entries;
     this.dispatcher = dispatcher;
     this.planner = planner;
-    this.configuration = configuration;
-    this.closures = closures;
+    this.operatorRecords = operatorRecords;
+    this.workerListing = workerListing;
   }
 
   /**
@@ -80,12 +83,12 @@
     if (dispatcher.get() == null) {
       return notPlanning();
     }
-    Optional<Queue> queue = configuration.get().queueNamed(job.queue());
+    Optional<Queue> queue = operatorRecords.configuration().queueNamed(job.queue());
     if (queue.isEmpty()) {
       return refused("no queue is named " + job.queue());
     }
     Optional<OrganisationAccess> organisation =
-        configuration.get().organisationNamed(job.organisation());
+        operatorRecords.configuration().organisationNamed(job.organisation());
     if (organisation.isEmpty() && !job.organisation().isEmpty()) {
       return refused("no organisation is named " + job.organisation());
     }
@@ -144,12 +147,26 @@
         phase,
         steps,
         pendingSteps.size() - steps.size(),
+        unavailableByRack(view, submission.service()),
         new JobExplanation.Basis(
             vm,
             current.term().epoch(),
-            configuration.get().version(),
+            operatorRecords.configuration().version(),
             current.workerListAgeMillis(),
-            closures.get().dataCentres(),
+            operatorRecords.closures(time.steadyMillis()).dataCentres(),
             !current.mayStart()));
   }
+
+  /** Counts the listed workers of a service that are not in the view, by rack. */
+  private Map<String, Integer> unavailableByRack(PlanView view, String service) {
+    Set<WorkerId> available =
+        view.workers().stream().map(PlanView.WorkerView::id).collect(Collectors.toSet());
+    Map<String, Integer> counts = new TreeMap<>();
+    for (WorkerInfo worker : workerListing.listed()) {
+      if (worker.service().equals(service) && !available.contains(worker.id())) {
+        counts.merge(worker.rack(), 1, Integer::sum);
+      }
+    }
+    return counts;
+  }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplanation.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplanation.java
@@ -1,7 +1,10 @@
 package org.peridotroute.scheduler.node;
 
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.plan.PlacementExplanation;
@@ -15,6 +18,8 @@
    * @param phase its phase; PENDING if it has not been submitted
    * @param steps its steps with waiting tasks whose dependencies are done; empty if it has none
    * @param stepsLeftOut number of further such steps
+   * @param unavailableByRack number of listed workers of the job's service that accept no new work
+   *     now, by rack: they are draining, quarantined, out of reach or in a closed data centre
    * @param basis what the explanation is based on
    */
   record Explained(
@@ -22,11 +27,13 @@
       JobPhase phase,
       List<PlacementExplanation> steps,
       int stepsLeftOut,
+      Map<String, Integer> unavailableByRack,
       Basis basis)
       implements JobExplanation {
-    /** Copies the list. */
+    /** Copies the collections. */
     public Explained {
       steps = List.copyOf(steps);
+      unavailableByRack = Collections.unmodifiableMap(new TreeMap<>(unavailableByRack));
     }
   }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -129,8 +129,8 @@
             entries,
             () -> dispatcher,
             role::planner,
-            operatorRecords::configuration,
-            () -> operatorRecords.closures(configurations.currentAsOfMillis()));
+            operatorRecords,
+            workerListing);
   }
 
   private TopicFollower follower(
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/WorkerListing.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/WorkerListing.java
@@ -1,5 +1,7 @@
 package org.peridotroute.scheduler.node;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +32,11 @@
     this.dispatcher = dispatcher;
   }
 
+  /** Returns the descriptions of the workers that are listed now. */
+  Collection<WorkerInfo> listed() {
+    return Collections.unmodifiableCollection(registeredWorkers.values());
+  }
+
   /** Forgets all workers, before a term begins. */
   void clear() {
     registeredWorkers.clear();
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/ExplanationView.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/ExplanationView.java
@@ -25,6 +25,7 @@
  * @param closedDataCentres data centres that are closed for new work
  * @param startsWithheld whether the planner sends no starts at present
  * @param stepsLeftOut number of further waiting steps that are not explained
+ * @param unavailableByRack number of listed workers that accept no new work now, by rack
  */
 public record ExplanationView(
     String job,
@@ -38,7 +39,8 @@
     long viewAgeMillis,
     List<String> closedDataCentres,
     boolean startsWithheld,
-    int stepsLeftOut) {
+    int stepsLeftOut,
+    Map<String, Integer> unavailableByRack) {
   /** Largest number of steps before a step that are named; their number is always given. */
   private static final int MAX_STEPS_BEFORE = 20;
 
@@ -144,7 +146,8 @@
         basis.viewAgeMillis(),
         List.copyOf(new TreeSet<>(basis.closedDataCentres())),
         basis.startsWithheld(),
-        explained.stepsLeftOut());
+        explained.stepsLeftOut(),
+        explained.unavailableByRack());
   }
 
   private static StepView step(PlacementExplanation step) {
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/JobExplanationTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/JobExplanationTest.java
@@ -94,6 +94,20 @@
     assertThat(running.steps()).isEmpty();
   }
 
+  /** Guards against workers that are left out of the racks without being mentioned. */
+  @Test
+  void workersOfAClosedDataCentreAreCounted() {
+    SimulatedCluster cluster = cluster();
+    cluster.setClosed("dc-0", true);
+    cluster.time().pass(3_000);
+    JobExplanation.Explained explained =
+        ask(cluster, new ProposedJob("org", "queue-0", request(4, 8, true, 2_000)));
+    assertThat(explained.basis().closedDataCentres()).containsExactly("dc-0");
+    assertThat(explained.unavailableByRack()).containsExactly("rack-0", 4);
+    assertThat(explained.steps().get(0).racks().stream().map(rack -> rack.rack()).toList())
+        .containsExactly("rack-1");
+  }
+
   /** Guards against an answer of a VM that has no view of the workers. */
   @Test
   void vmThatDoesNotPlanNamesThePlanner() {
