--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/SimulatedClusterTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/SimulatedClusterTest.java
@@ -5,11 +5,13 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.peridotroute.scheduler.model.Capacity;
+import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.Schedule;
@@ -79,7 +81,18 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void keepsInvariantsUnderRandomFaults(long seed) {
-    SimulatedCluster cluster = new SimulatedCluster(seed, 4, 8, eventsOf(seed));
+    playRandomFaults(seed, Set.of());
+  }
+
+  // Quarantines and trials must not start, lose or repeat a run against the rules.
+  @ParameterizedTest
+  @MethodSource("org.peridotroute.scheduler.RandomFaults#seeds")
+  void keepsInvariantsWhileConductIsJudged(long seed) {
+    playRandomFaults(seed, Set.of(Feature.WORKER_CONDUCT));
+  }
+
+  private static void playRandomFaults(long seed, Set<Feature> features) {
+    SimulatedCluster cluster = new SimulatedCluster(seed, 4, 8, eventsOf(seed), features);
     Random random = new Random(seed * 31);
     cluster.time().pass(4_000);
     cluster.setFailingTasks(0.03);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/WorkerConductTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/WorkerConductTest.java
@@ -37,9 +37,11 @@
 
   private final Set<String> quarantined = new TreeSet<>();
   private final Set<String> serving = new TreeSet<>();
+  private final Set<String> sound = new TreeSet<>();
   private final List<Placement> placements = new ArrayList<>();
   private int mostQuarantined;
   private long lastQuarantineMillis;
+  private long lastTrialMillis;
   private long quarantinedMillis;
   private int starts;
   private SimulatedCluster cluster;
@@ -65,8 +67,12 @@
         quarantinedMillis = Long.parseLong(field(fields, "millis"));
         mostQuarantined = Math.max(mostQuarantined, serving.size());
       }
-      case "worker-on-trial", "worker-sound", "worker-doubtful" ->
-          serving.remove(String.valueOf(fields[1]));
+      case "worker-on-trial" -> {
+        lastTrialMillis = cluster.time().steadyMillis();
+        serving.remove(String.valueOf(fields[1]));
+      }
+      case "worker-doubtful" -> serving.remove(String.valueOf(fields[1]));
+      case "worker-sound" -> sound.add(String.valueOf(fields[1]));
       case "run-ended" -> starts++;
       case "step-placed" -> {
         int priority = Integer.parseInt(field(fields, "priority"));
@@ -217,6 +223,35 @@
     finish();
   }
 
+  // A worker that is still bad after its quarantine must not get much work at once.
+  @ParameterizedTest
+  @CsvSource({"1", "2"})
+  void trialBeginsWithLittleWork(long seed) {
+    start(seed);
+    cluster.setFault(worker(7), WorkerFault.refusing());
+    while (!serving.contains("w-7")) {
+      run(1, 3_000, false, second -> {});
+    }
+    cluster.setFault(worker(7), WorkerFault.NONE);
+    placements.clear();
+    while (serving.contains("w-7")) {
+      run(1, 3_000, false, second -> {});
+    }
+    long trialMillis = lastTrialMillis;
+    run(20, 3_000, false, second -> {});
+    List<Long> times =
+        placements.stream()
+            .filter(placement -> placement.worker().equals("w-7"))
+            .map(Placement::atMillis)
+            .toList();
+    assertThat(times).isNotEmpty();
+    assertThat(times.get(0)).isAtLeast(trialMillis);
+    // A quarter of its eight accelerators; the tasks take 3 s.
+    assertThat(times.stream().filter(at -> at < times.get(0) + 2_500).count()).isAtMost(2);
+    assertThat(sound).contains("w-7");
+    finish();
+  }
+
   // A job that fails wherever it runs is no evidence against the workers that it runs on.
   @ParameterizedTest
   @CsvSource({"1,false", "2,true"})
--- /dev/null
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/dispatch/WorkerRecordTest.java
@@ -0,0 +1,40 @@
+package org.peridotroute.scheduler.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.conduct.SavedConduct;
+
+/** Guards against the loss of a worker's address or quarantine at a change of the program. */
+final class WorkerRecordTest {
+  private static final WorkerId ID = new WorkerId("w-1");
+
+  private static Optional<WorkerRecord> read(String text) {
+    return WorkerRecord.read(ID, text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void keepsTheQuarantineOfAWorker() {
+    WorkerRecord record =
+        new WorkerRecord(ID, "10.0.0.1:1", 17, true, new SavedConduct(2, 1_764_000_000_000L));
+    assertThat(WorkerRecord.read(ID, record.toRecord().value())).isEqualTo(Optional.of(record));
+  }
+
+  // Without the feature, records must stay as they were.
+  @Test
+  void writesNothingMoreForAWorkerThatWasNeverQuarantined() {
+    WorkerRecord record = new WorkerRecord(ID, "10.0.0.1:1", 17, false, SavedConduct.NONE);
+    assertThat(new String(record.toRecord().value(), StandardCharsets.UTF_8))
+        .isEqualTo("10.0.0.1:1 17 false");
+    assertThat(read("10.0.0.1:1 17 false")).isEqualTo(Optional.of(record));
+  }
+
+  @Test
+  void keepsTheAddressIfTheConductIsMalformed() {
+    WorkerRecord record = new WorkerRecord(ID, "10.0.0.1:1", 17, false, SavedConduct.NONE);
+    assertThat(read("10.0.0.1:1 17 false x@y later")).isEqualTo(Optional.of(record));
+  }
+}
