--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/ConductBook.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/ConductBook.java
@@ -141,13 +141,6 @@
       weighed.put(member.id(), withFailures(member.id(), nowMillis));
     }
     FleetSuspicion fleet = new FleetSuspicion(members, weighed, nowMillis);
-    List<ConductChange> changes = new ArrayList<>();
-    for (Member member : members) {
-      WorkerConduct conduct = weighed.get(member.id());
-      boolean excused = conduct.state() == ConductState.QUARANTINED && fleet.hasSuspectRack(member);
-      WorkerConduct next = excused ? conduct.doubtful(nowMillis) : conduct.atTime(nowMillis);
-      change(member.id(), next, excused ? "its whole rack is suspect" : "", changes, nowMillis);
-    }
     List<Member> accused =
         members.stream()
             .filter(member -> weighed.get(member.id()).deservesQuarantine(nowMillis))
@@ -155,11 +148,21 @@
                 Comparator.comparingDouble(
                     member -> -weighed.get(member.id()).suspicion().total(nowMillis)))
             .toList();
+    List<ConductChange> changes = new ArrayList<>();
+    for (Member member : members) {
+      WorkerConduct conduct = weighed.get(member.id());
+      if (conduct.deservesQuarantine(nowMillis)) {
+        continue;
+      }
+      boolean excused = conduct.state() == ConductState.QUARANTINED && fleet.hasSuspectRack(member);
+      WorkerConduct next = excused ? conduct.doubtful(nowMillis) : conduct.atTime(nowMillis);
+      change(member.id(), next, excused ? "its whole rack is suspect" : "", changes, nowMillis);
+    }
     for (Member member : accused) {
       WorkerConduct conduct = weighed.get(member.id());
       String evidence = conduct.suspicion().describe(nowMillis);
       if (fleet.hasCommonCause(member) || !hasRoom(member, members)) {
-        change(member.id(), conduct.doubtful(nowMillis), evidence, changes, nowMillis);
+        change(member.id(), conduct.spared(nowMillis), evidence, changes, nowMillis);
       } else {
         change(member.id(), conduct.quarantined(nowMillis), evidence, changes, nowMillis);
       }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/RunProgress.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/RunProgress.java
@@ -182,7 +182,9 @@
 
   private OptionalDouble judge(Mark mark, double peerLogSpeed, OptionalDouble jobLogSpeed) {
     double slowest = Math.min(peerLogSpeed, jobLogSpeed.orElse(peerLogSpeed));
-    boolean slow = mark.logSpeed(mark.pendingLogRate) < slowest + Math.log(SLOW_SHARE);
+    // A run that has been measured again since and is no longer slow accuses nobody.
+    double rate = Math.max(mark.pendingLogRate, mark.logRate);
+    boolean slow = mark.logSpeed(rate) < slowest + Math.log(SLOW_SHARE);
     if (peerLogSpeed < Math.log(MIN_PEER_SPEED)) {
       return OptionalDouble.empty();
     }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/WorkerConduct.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/WorkerConduct.java
@@ -117,6 +117,11 @@
         : new WorkerConduct(ConductState.DOUBTFUL, suspicion, level, nowMillis, 0, 0);
   }
 
+  /** Returns the conduct of a worker that deserves a quarantine and cannot get one. */
+  WorkerConduct spared(long nowMillis) {
+    return state == ConductState.ON_TRIAL ? this : doubtful(nowMillis);
+  }
+
   /**
    * Returns the conduct of the next incarnation. Evidence is not carried over, but the successor of
    * a worker that was not sound starts doubtful.
