--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/ConductBook.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/ConductBook.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.peridotroute.lib.WorkerId;
 
 /**
@@ -62,6 +63,15 @@
     return conducts.getOrDefault(worker, WorkerConduct.UNKNOWN);
   }
 
+  /** Returns the ids of the workers in a state, separated by commas. */
+  public String workersIn(ConductState state) {
+    return conducts.entrySet().stream()
+        .filter(entry -> entry.getValue().state() == state)
+        .map(entry -> entry.getKey().value())
+        .sorted()
+        .collect(Collectors.joining(","));
+  }
+
   /** Adopts the quarantine that an earlier planner imposed, until the given steady time. */
   public void inherit(WorkerId worker, int level, long untilMillis) {
     if (level > 0) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/RunFailures.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/RunFailures.java
@@ -39,15 +39,29 @@
   /** Share of failed runs from which a job is bad itself; a bad worker fails about half. */
   private static final double BAD_JOB_SHARE = 0.7;
 
+  /** Share of failed runs on a worker from which it says little of a job. */
+  private static final double QUESTIONABLE_SHARE = 0.2;
+
   private record Run(
-      WorkerId worker, String queue, String job, String task, boolean failed, long atMillis) {}
+      WorkerId worker, Counts queue, Counts job, Counts task, boolean failed, long atMillis) {}
 
   /** Number of runs and failures, in total and by worker. */
   private static final class Counts {
+    private final String name;
     private int runs;
     private int failures;
     private final Map<WorkerId, int[]> byWorker = new HashMap<>();
 
+    /** Runs and failures on questionable workers as of a review. */
+    private int ignoredRuns;
+
+    private int ignoredFailures;
+    private int reviewNumber;
+
+    Counts(String name) {
+      this.name = name;
+    }
+
     void add(Run run, int sign) {
       int[] own = byWorker.computeIfAbsent(run.worker(), key -> new int[2]);
       own[0] += sign;
@@ -66,61 +80,93 @@
       return failures >= BAD_JOB_SHARE * runs;
     }
 
-    /** Returns runs and failures on other workers than the given ones. */
-    int[] elsewhere(WorkerId worker, Set<WorkerId> ignored) {
-      int[] sum = {runs, failures};
-      subtract(sum, worker);
-      for (WorkerId other : ignored) {
-        if (!other.equals(worker)) {
-          subtract(sum, other);
-        }
-      }
-      return sum;
+    /** Returns the number of runs that completed on other workers. */
+    int completedElsewhere(WorkerId worker) {
+      int[] own = byWorker.getOrDefault(worker, NO_RUNS);
+      return runs - failures - (own[0] - own[1]);
     }
 
-    private void subtract(int[] sum, WorkerId worker) {
-      int[] own = byWorker.get(worker);
-      if (own != null) {
-        sum[0] -= own[0];
-        sum[1] -= own[1];
+    /** Adds up, once in each review, what is on questionable workers. */
+    void refresh(Set<WorkerId> questionable, int review) {
+      if (reviewNumber == review) {
+        return;
+      }
+      reviewNumber = review;
+      ignoredRuns = 0;
+      ignoredFailures = 0;
+      if (!questionable.isEmpty()) {
+        byWorker.forEach(
+            (worker, own) -> {
+              if (questionable.contains(worker)) {
+                ignoredRuns += own[0];
+                ignoredFailures += own[1];
+              }
+            });
       }
     }
   }
 
+  /** Recent runs of one worker. */
+  private static final class Own {
+    private final Deque<Run> runs = new ArrayDeque<>();
+    private int failures;
+  }
+
+  private static final int[] NO_RUNS = new int[2];
+
   private final Deque<Run> window = new ArrayDeque<>();
   private final Map<String, Counts> queues = new HashMap<>();
   private final Map<String, Counts> jobs = new HashMap<>();
   private final Map<String, Counts> tasks = new HashMap<>();
-  private final Map<WorkerId, Deque<Run>> runsByWorker = new HashMap<>();
+  private final Map<WorkerId, Own> runsByWorker = new HashMap<>();
   private final Set<WorkerId> questionable = new HashSet<>();
+  private int reviewNumber;
 
   /** Adds a run that has completed or failed. */
   void add(WorkerId worker, String queue, String job, String task, boolean failed, long nowMillis) {
-    Run run = new Run(worker, queue, job, task, failed, nowMillis);
+    Run run =
+        new Run(
+            worker,
+            queues.computeIfAbsent(queue, Counts::new),
+            jobs.computeIfAbsent(job, Counts::new),
+            tasks.computeIfAbsent(task, Counts::new),
+            failed,
+            nowMillis);
     window.add(run);
     count(run, 1);
-    runsByWorker.computeIfAbsent(worker, key -> new ArrayDeque<>()).add(run);
+    Own own = runsByWorker.computeIfAbsent(worker, key -> new Own());
+    own.runs.add(run);
+    own.failures += failed ? 1 : 0;
     while (nowMillis - window.peek().atMillis() > WINDOW_MILLIS) {
-      Run old = window.remove();
-      count(old, -1);
-      Deque<Run> own = runsByWorker.get(old.worker());
-      if (own != null && old.equals(own.peek())) {
-        own.remove();
+      removeOldest();
+    }
+  }
+
+  private void removeOldest() {
+    Run old = window.remove();
+    count(old, -1);
+    removeIfUnused(queues, old.queue());
+    removeIfUnused(jobs, old.job());
+    removeIfUnused(tasks, old.task());
+    Own own = runsByWorker.get(old.worker());
+    if (own != null && old.equals(own.runs.peek())) {
+      own.runs.remove();
+      own.failures -= old.failed() ? 1 : 0;
+      if (own.runs.isEmpty()) {
+        runsByWorker.remove(old.worker());
       }
     }
   }
 
-  private void count(Run run, int sign) {
-    count(queues, run.queue(), run, sign);
-    count(jobs, run.job(), run, sign);
-    count(tasks, run.task(), run, sign);
+  private static void count(Run run, int sign) {
+    run.queue().add(run, sign);
+    run.job().add(run, sign);
+    run.task().add(run, sign);
   }
 
-  private static void count(Map<String, Counts> map, String key, Run run, int sign) {
-    Counts counts = map.computeIfAbsent(key, missing -> new Counts());
-    counts.add(run, sign);
+  private static void removeIfUnused(Map<String, Counts> map, Counts counts) {
     if (counts.runs == 0) {
-      map.remove(key);
+      map.remove(counts.name);
     }
   }
 
@@ -135,18 +181,21 @@
    * same bad rack.
    */
   void beginReview() {
+    reviewNumber++;
     questionable.clear();
     runsByWorker.forEach(
-        (worker, runs) -> {
-          long failedJobs =
-              runs.stream()
-                  .filter(Run::failed)
-                  .map(Run::job)
-                  .distinct()
-                  .filter(job -> !jobs.get(job).isBad())
-                  .count();
-          if (failedJobs >= MIN_QUESTIONABLE_JOBS) {
-            questionable.add(worker);
+        (worker, own) -> {
+          boolean failsOften = own.failures >= QUESTIONABLE_SHARE * own.runs.size();
+          if (own.failures >= MIN_QUESTIONABLE_JOBS && failsOften) {
+            long failedJobs =
+                own.runs.stream()
+                    .filter(run -> run.failed() && !run.job().isBad())
+                    .map(Run::job)
+                    .distinct()
+                    .count();
+            if (failedJobs >= MIN_QUESTIONABLE_JOBS) {
+              questionable.add(worker);
+            }
           }
         });
   }
@@ -156,18 +205,17 @@
    * anew each time, because a later failure elsewhere may clear the worker.
    */
   double weight(WorkerId worker, long nowMillis) {
-    Deque<Run> own = runsByWorker.get(worker);
-    if (own == null || own.stream().noneMatch(Run::failed)) {
+    Own own = runsByWorker.get(worker);
+    if (own == null || own.failures == 0) {
       return 0;
     }
     double weight = 0;
-    Set<String> accusingJobs = new HashSet<>();
-    for (Run run : own) {
+    Set<Counts> accusingJobs = new HashSet<>();
+    for (Run run : own.runs) {
       if (nowMillis - run.atMillis() > WINDOW_MILLIS) {
         continue;
       }
-      int[] elsewhere = jobs.get(run.job()).elsewhere(worker, Set.of());
-      boolean cleared = elsewhere[0] - elsewhere[1] >= MIN_CLEARING_RUNS;
+      boolean cleared = run.job().completedElsewhere(worker) >= MIN_CLEARING_RUNS;
       // Failures of one job that has run nowhere else may all be the fault of the job.
       if (!run.failed() || cleared || accusingJobs.add(run.job())) {
         weight = Math.max(0, weight + logRatio(run));
@@ -183,13 +231,27 @@
   }
 
   private double expectedShare(Run run) {
-    if (tasks.get(run.task()).elsewhere(run.worker(), questionable)[1] > 0) {
+    if (elsewhere(run.task(), run.worker()).failures() > 0) {
       return REPEATED_SHARE;
     }
-    int[] queue = queues.get(run.queue()).elsewhere(run.worker(), questionable);
-    int[] job = jobs.get(run.job()).elsewhere(run.worker(), questionable);
-    double ofQueue = (queue[1] + PRIOR_SHARE * PRIOR_QUEUE_RUNS) / (queue[0] + PRIOR_QUEUE_RUNS);
-    double ofJob = (job[1] + ofQueue * PRIOR_JOB_RUNS) / (job[0] + PRIOR_JOB_RUNS);
+    double ofQueue = elsewhere(run.queue(), run.worker()).share(PRIOR_SHARE, PRIOR_QUEUE_RUNS);
+    double ofJob = elsewhere(run.job(), run.worker()).share(ofQueue, PRIOR_JOB_RUNS);
     return Math.min(REPEATED_SHARE, Math.max(PRIOR_SHARE / 2, ofJob));
   }
+
+  /** Returns what is known from other workers, except for questionable ones. */
+  private Elsewhere elsewhere(Counts counts, WorkerId worker) {
+    counts.refresh(questionable, reviewNumber);
+    int[] own =
+        questionable.contains(worker) ? NO_RUNS : counts.byWorker.getOrDefault(worker, NO_RUNS);
+    return new Elsewhere(
+        counts.runs - counts.ignoredRuns - own[0],
+        counts.failures - counts.ignoredFailures - own[1]);
+  }
+
+  private record Elsewhere(int runs, int failures) {
+    double share(double prior, double priorRuns) {
+      return (failures + prior * priorRuns) / (runs + priorRuns);
+    }
+  }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/ConductHealth.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/ConductHealth.java
@@ -206,6 +206,15 @@
     worker.restraint().save(conduct.toSaved(time.wallMillis() - time.steadyMillis()));
   }
 
+  @Override
+  public String describe() {
+    return " quarantined=%s onTrial=%s doubtful=%s"
+        .formatted(
+            book.workersIn(ConductState.QUARANTINED),
+            book.workersIn(ConductState.ON_TRIAL),
+            book.workersIn(ConductState.DOUBTFUL));
+  }
+
   private void report(ConductChange change) {
     String name =
         switch (change.conduct().state()) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -584,9 +584,9 @@
     return jobs.values().stream().filter(job -> !job.phase().isEnded()).count();
   }
 
-  /** Returns the number of known workers, for the dump. */
-  public int workerCount() {
-    return workerManager.workers().size();
+  /** Returns the number of known workers and those with bad conduct, for the dump. */
+  public String describeWorkers() {
+    return workerManager.workers().size() + health.describe();
   }
 
   /** Returns the number of jobs whose progress is not written yet, for the dump. */
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerHealth.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerHealth.java
@@ -23,6 +23,11 @@
   /** Handles the crash of a worker, before its next incarnation is known. */
   default void onCrashed(WorkerState worker) {}
 
+  /** Returns which workers are limited by their conduct, for the dump. */
+  default String describe() {
+    return "";
+  }
+
   /** Reviews all workers. Called often. */
   default void review(Collection<WorkerState> workers) {}
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -512,13 +512,13 @@
   /** Returns a one-line summary of this VM's state, for the dump. Control thread. */
   public String describe() {
     Dispatcher current = dispatcher;
-    return "vm=%s planning=%s jobs=%d open=%d workers=%d backlog=%d configuration=%d closed=%s"
+    return "vm=%s planning=%s jobs=%d open=%d workers=%s backlog=%d configuration=%d closed=%s"
         .formatted(
             settings.vm(),
             current != null,
             entries.size(),
             current == null ? -1 : current.openJobCount(),
-            current == null ? -1 : current.workerCount(),
+            current == null ? "-1" : current.describeWorkers(),
             current == null ? -1 : current.journalBacklog(),
             configuration() == null ? -1 : configuration().version(),
             operatorRecords.closures(configurations.currentAsOfMillis()).dataCentres());
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -626,6 +626,11 @@
     return vms.get(name).scheduler.isReady();
   }
 
+  /** Returns the summary of its state that a VM writes into a dump. */
+  public String describe(String name) {
+    return vms.get(name).scheduler.describe();
+  }
+
   /** Asks a VM whether a job exists. */
   public CompletableFuture<RequestOutcome> find(String name, JobId id) {
     return vms.get(name).scheduler.find(id);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/WorkerConductTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/WorkerConductTest.java
@@ -232,6 +232,8 @@
     while (!serving.contains("w-7")) {
       run(1, 3_000, false, second -> {});
     }
+    String planner = cluster.planner().orElseThrow();
+    assertThat(cluster.describe(planner)).contains("quarantined=w-7 ");
     cluster.setFault(worker(7), WorkerFault.NONE);
     placements.clear();
     while (serving.contains("w-7")) {
