--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/ConductBook.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/conduct/ConductBook.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.peridotroute.lib.WorkerId;
 
 /**
@@ -62,6 +63,15 @@
     return conducts.getOrDefault(worker, WorkerConduct.UNKNOWN);
   }
 
+  /** Returns the ids of the workers in a state, separated by commas. */
+  public String workersIn(ConductState state) {
+    return conducts.entrySet().stream()
+        .filter(entry -> entry.getValue().state() == state)
+        .map(entry -> entry.getKey().value())
+        .sorted()
+        .collect(Collectors.joining(","));
+  }
+
   /** Adopts the quarantine that an earlier planner imposed, until the given steady time. */
   public void inherit(WorkerId worker, int level, long untilMillis) {
     if (level > 0) {
@@ -141,13 +151,6 @@
       weighed.put(member.id(), withFailures(member.id(), nowMillis));
     }
     FleetSuspicion fleet = new FleetSuspicion(members, weighed, nowMillis);
-    List<ConductChange> changes = new ArrayList<>();
-    for (Member member : members) {
-      WorkerConduct conduct = weighed.get(member.id());
-      boolean excused = conduct.state() == ConductState.QUARANTINED && fleet.hasSuspectRack(member);
-      WorkerConduct next = excused ? conduct.doubtful(nowMillis) : conduct.atTime(nowMillis);
-      change(member.id(), next, excused ? "its whole rack is suspect" : "", changes, nowMillis);
-    }
     List<Member> accused =
         members.stream()
             .filter(member -> weighed.get(member.id()).deservesQuarantine(nowMillis))
@@ -155,11 +158,21 @@
                 Comparator.comparingDouble(
                     member -> -weighed.get(member.id()).suspicion().total(nowMillis)))
             .toList();
+    List<ConductChange> changes = new ArrayList<>();
+    for (Member member : members) {
+      WorkerConduct conduct = weighed.get(member.id());
+      if (conduct.deservesQuarantine(nowMillis)) {
+        continue;
+      }
+      boolean excused = conduct.state() == ConductState.QUARANTINED && fleet.hasSuspectRack(member);
+      WorkerConduct next = excused ? conduct.doubtful(nowMillis) : conduct.atTime(nowMillis);
+      change(member.id(), next, excused ? "its whole rack is suspect" : "", changes, nowMillis);
+    }
     for (Member member : accused) {
       WorkerConduct conduct = weighed.get(member.id());
       String evidence = conduct.suspicion().describe(nowMillis);
       if (fleet.hasCommonCause(member) || !hasRoom(member, members)) {
-        change(member.id(), conduct.doubtful(nowMillis), evidence, changes, nowMillis);
+        change(member.id(), conduct.spared(nowMillis), evidence, changes, nowMillis);
       } else {
         change(member.id(), conduct.quarantined(nowMillis), evidence, changes, nowMillis);
       }
