--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -126,21 +126,7 @@
     workerListing = new WorkerListing(decoder, () -> dispatcher);
     workers = follower(Topic.WORKERS, workerListing, wait, settings.plannerReadIntervalMillis());
     role = new PlannerRole(settings, log, control, time, events);
-    jobRequests =
-        new JobRequests(
-            entries,
-            writer,
-            new JobSearch(requests, progress, entries, this::isPlanning),
-            settings.dispatch().policy().has(Feature.ADMISSION)
-                ? new RefuseUseless()
-                : new AcceptAll(),
-            loadHistory,
-            new JobRequests.Callbacks(this::onSubmission, this::onCancel),
-            new JobRequests.VmState(this::isLogUnreachable, this::configuration),
-            control,
-            time,
-            events,
-            settings.requestTimeoutMillis());
+    jobRequests = newJobRequests();
     explainer =
         new JobExplainer(
             settings.vm(),
@@ -153,6 +139,21 @@
             workerListing);
   }
 
+  private JobRequests newJobRequests() {
+    return new JobRequests(
+        entries,
+        writer,
+        new JobSearch(requests, progress, entries, this::isPlanning),
+        settings.dispatch().policy().has(Feature.ADMISSION) ? new RefuseUseless() : new AcceptAll(),
+        loadHistory,
+        new JobRequests.Callbacks(this::onSubmission, this::onCancel),
+        new JobRequests.VmState(this::isLogUnreachable, this::configuration),
+        control,
+        time,
+        events,
+        settings.requestTimeoutMillis());
+  }
+
   private TopicFollower follower(
       Topic topic, TopicFollower.Listener listener, long waitMillis, long readIntervalMillis) {
     return new TopicFollower(
