--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplainer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplainer.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
+import org.peridotroute.scheduler.load.AdmissionPolicy;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.OrganisationAccess;
@@ -39,6 +41,7 @@
   private final Supplier<Optional<String>> planner;
   private final OperatorRecords operatorRecords;
   private final WorkerListing workerListing;
+  private final Function<Submission, Optional<AdmissionPolicy.Refusal>> admission;
 
   JobExplainer(
       String vm,
@@ -48,7 +51,8 @@
       Supplier<Dispatcher> dispatcher,
       Supplier<Optional<String>> planner,
       OperatorRecords operatorRecords,
-      WorkerListing workerListing) {
+      WorkerListing workerListing,
+      Function<Submission, Optional<AdmissionPolicy.Refusal>> admission) {
     this.vm = vm;
     this.time = time;
     placementExplainer = new PlacementExplainer(placer);
@@ -57,6 +61,7 @@
     this.planner = planner;
     this.operatorRecords = operatorRecords;
     this.workerListing = workerListing;
+    this.admission = admission;
   }
 
   /**
@@ -101,7 +106,7 @@
           "queue %s and organisation %s allow no region in common"
               .formatted(job.queue(), job.organisation()));
     }
-    return explain(
+    Submission submission =
         new Submission(
             unusedId(),
             job.organisation(),
@@ -109,8 +114,16 @@
             queue.get().service(),
             queue.get().terms(regions.get()),
             time.wallMillis(),
-            job.request()),
-        JobPhase.PENDING);
+            job.request());
+    Optional<AdmissionPolicy.Refusal> refusal = admission.apply(submission);
+    return refusal.isPresent()
+        ? new JobExplanation.Refused(describe(refusal.get()))
+        : explain(submission, JobPhase.PENDING);
+  }
+
+  private static String describe(AdmissionPolicy.Refusal refusal) {
+    return "the job could start after %d ms and would be of no use after %d ms; retry after %d s"
+        .formatted(refusal.waitMillis(), refusal.usefulMillis(), refusal.retryAfterSeconds());
   }
 
   private static JobExplanation refused(String reason) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobRequests.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobRequests.java
@@ -93,7 +93,8 @@
                 });
   }
 
-  private Optional<AdmissionPolicy.Refusal> decide(Submission submission) {
+  /** Returns the refusal that a job would get because of the load now, or empty. */
+  Optional<AdmissionPolicy.Refusal> decide(Submission submission) {
     return admission.decide(
         submission,
         state.configuration().get().guaranteedAccelerators(submission.organisation()),
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -136,7 +136,8 @@
             () -> dispatcher,
             role::planner,
             operatorRecords,
-            workerListing);
+            workerListing,
+            jobRequests::decide);
   }
 
   private JobRequests newJobRequests() {
