--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/ConductHealth.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/ConductHealth.java
@@ -96,7 +96,10 @@
 
   @Override
   public void onStartRefused(WorkerState worker) {
-    book.onRefusal(worker.id(), time.steadyMillis());
+    // Starts that were sent together are refused for one reason.
+    if (worker.restraint().permits(time.steadyMillis())) {
+      book.onRefusal(worker.id(), time.steadyMillis());
+    }
     worker.restraint().pauseUntil(time.steadyMillis() + REFUSAL_PAUSE_MILLIS);
   }
 
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/WorkerConductTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/WorkerConductTest.java
@@ -44,6 +44,7 @@
   private long lastTrialMillis;
   private long quarantinedMillis;
   private int starts;
+  private int refusals;
   private SimulatedCluster cluster;
   private int jobCount;
 
@@ -74,6 +75,7 @@
       case "worker-doubtful" -> serving.remove(String.valueOf(fields[1]));
       case "worker-sound" -> sound.add(String.valueOf(fields[1]));
       case "run-ended" -> starts++;
+      case "start-not-taken" -> refusals++;
       case "step-placed" -> {
         int priority = Integer.parseInt(field(fields, "priority"));
         for (String worker : field(fields, "workers").replaceAll("[\\[\\] ]", "").split(",", -1)) {
@@ -312,6 +314,26 @@
     return new JobRequest("payload", List.of(step), Schedule.ONCE);
   }
 
+  // Starts that are sent together are refused for one reason, such as a capacity that has shrunk.
+  @ParameterizedTest
+  @CsvSource({"1", "2"})
+  void keepsAWorkerThatRefusesSeveralStartsAtOnce(long seed) {
+    start(seed);
+    cluster.setFault(worker(7), WorkerFault.refusing());
+    run(1, 3_000, false, second -> {});
+    while (refusals == 0) {
+      cluster.submit(new JobId("%016x".formatted(++jobCount)), job(3_000), 2);
+      for (int i = 0; i < 10 && refusals == 0; i++) {
+        cluster.time().pass(100);
+      }
+    }
+    cluster.setFault(worker(7), WorkerFault.NONE);
+    run(20, 3_000, false, second -> {});
+    assertThat(refusals).isAtLeast(2);
+    assertThat(quarantined).isEmpty();
+    finish();
+  }
+
   // A whole rack fails half of what it starts: all its workers, or none.
   @ParameterizedTest
   @CsvSource({"1,false", "2,true"})
