--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/SpeedEstimates.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/SpeedEstimates.java
@@ -92,7 +92,9 @@
     if (!byWorker || !worker.hasInfo()) {
       return usualMillis;
     }
-    double slowdown = gangRacks == null ? slowdown(worker) : workerSpeeds.gangSlowdown(gangRacks);
-    return Math.max(1, Math.round((double) usualMillis * slowdown));
+    if (gangRacks == null) {
+      return workerSpeeds.expectedMillis(usualMillis, worker.id(), worker.info().rack());
+    }
+    return Math.max(1, Math.round((double) usualMillis * workerSpeeds.gangSlowdown(gangRacks)));
   }
 }
