--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/LoadMeter.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/LoadMeter.java
@@ -8,7 +8,6 @@
 import java.util.TreeMap;
 import org.peridotroute.scheduler.load.LoadSummary;
 import org.peridotroute.scheduler.load.QueueLoad;
-import org.peridotroute.scheduler.load.RefuseUseless;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.table.Job;
@@ -83,7 +82,7 @@
   private boolean isExpired(Submission submission, long wallMillis) {
     return submission.request().schedule().occurrences() == 1
         && wallMillis - submission.acceptedAtMillis()
-            > RefuseUseless.EXPIRY_FACTOR * durationEstimator.objectiveMillis(submission);
+            > Submission.Terms.EXPIRY_FACTOR * durationEstimator.objectiveMillis(submission);
   }
 
   private static long peakAccelerators(Job job) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -29,9 +29,6 @@
  * Builds the immutable view that a pass decides on. Keeps the peak of urgent demand between passes.
  */
 final class PlanViewBuilder {
-  /** Multiple of its objective after which completing a job is of no use, as the users specify. */
-  static final long EXPIRY_FACTOR = 3;
-
   private final DurationEstimator durationEstimator;
   private final SpeedEstimates speeds;
 
@@ -226,7 +223,7 @@
         guaranteed,
         waitingSince,
         waitingSince + objective,
-        waitingSince + EXPIRY_FACTOR * objective,
+        waitingSince + Submission.Terms.EXPIRY_FACTOR * objective,
         durationEstimator.taskMillis(submission, step.spec()),
         durationEstimator.criticalPathMillis(submission, step.id().step()),
         excludedWorkers,
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunningTaskViews.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunningTaskViews.java
@@ -158,7 +158,7 @@
         taskMillis,
         durationEstimator.criticalPathMillis(submission, step.step()) - taskMillis,
         since + objective,
-        since + PlanViewBuilder.EXPIRY_FACTOR * objective);
+        since + Submission.Terms.EXPIRY_FACTOR * objective);
   }
 
   private static boolean hasWaitingTasks(Job job, StepId id) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/load/RefuseUseless.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/load/RefuseUseless.java
@@ -12,9 +12,6 @@
  * job that the guarantee of its organisation covers.
  */
 public final class RefuseUseless implements AdmissionPolicy {
-  /** Multiple of its objective after which completing a job is of no use to its caller. */
-  public static final long EXPIRY_FACTOR = 3;
-
   private static final long MILLIS_PER_SECOND = 1_000;
 
   /** Longest time after which a caller is asked to come back. */
@@ -33,7 +30,7 @@
     long pathMillis = criticalPathMillis(submission, queue.taskMillis());
     long objectiveMillis =
         (long) (submission.terms().stretch() * pathMillis) + submission.terms().objectiveMillis();
-    long usefulMillis = EXPIRY_FACTOR * objectiveMillis - pathMillis;
+    long usefulMillis = Submission.Terms.EXPIRY_FACTOR * objectiveMillis - pathMillis;
     long waitMillis = load.get().leastWaitMillis();
     boolean startsBeforeMost =
         acceleratorMillis(submission, queue.taskMillis()) < queue.medianAcceleratorMillis();
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Submission.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Submission.java
@@ -45,6 +45,9 @@
       double stretch,
       long objectiveMillis,
       List<String> allowedRegions) {
+    /** Multiple of its objective after which completing a job is of no use to its caller. */
+    public static final long EXPIRY_FACTOR = 3;
+
     /** Copies the list. */
     public Terms {
       allowedRegions = allowedRegions == null ? List.of() : List.copyOf(allowedRegions);
