--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/Preemption.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/plan/Preemption.java
@@ -17,6 +17,12 @@
   /** Stops of a task after which only a guarantee that is due stops it again. */
   private static final int MAX_STOPS = 2;
 
+  /**
+   * Time by which the end of a run may be later than expected, or the start that follows it. A stop
+   * that comes too late costs the urgent caller more than one that was not needed costs others.
+   */
+  private static final long WAIT_MARGIN_MILLIS = 600;
+
   private final PlanSettings settings;
   private final PlanView view;
   private final CapacityLedger ledger;
@@ -190,7 +196,8 @@
 
   /**
    * Returns what the caller gains if runs are stopped for the step now. Waiting for runs to end
-   * counts as good enough only if it leaves time for stops, since the expected ends may be wrong.
+   * counts as good enough only if it leaves time for stops and for the start that follows them,
+   * since the expected ends may be wrong.
    */
   private double gainCoreSeconds(
       PlanView.PendingStep pending, List<List<CapacityLedger.Entry>> groups, int members) {
@@ -203,7 +210,7 @@
     PlanView.Usefulness ifWaiting =
         waitMillis == EarliestStart.NEVER_MILLIS
             ? PlanView.Usefulness.NONE
-            : pending.usefulness(startMillis + waitMillis);
+            : pending.usefulness(startMillis + WAIT_MARGIN_MILLIS + waitMillis);
     return CompletionValue.coreSeconds(pending.priority(), ifStopped)
         - CompletionValue.coreSeconds(pending.priority(), ifWaiting);
   }
