--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/PolicySettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/PolicySettings.java
@@ -11,7 +11,6 @@
  *     centres are never closed
  * @param coldFactor factor by which a task takes longer on a worker that has just started
  * @param restoreMillis time that a task takes to resume from its checkpoint
- * @param logPartitions number of partitions of a topic of the log
  * @param regionsByDataCentre region of each data centre
  */
 public record PolicySettings(
@@ -19,10 +18,9 @@
     long closureMillis,
     double coldFactor,
     long restoreMillis,
-    int logPartitions,
     Map<String, String> regionsByDataCentre) {
   /** No optional policies. */
-  public static final PolicySettings NONE = new PolicySettings(Set.of(), 0, 1, 0, 1, Map.of());
+  public static final PolicySettings NONE = new PolicySettings(Set.of(), 0, 1, 0, Map.of());
 
   /** Copies the collections. */
   public PolicySettings {
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
@@ -47,7 +47,6 @@
  * @param coldFactor factor by which tasks take longer on a worker that has just started; 1 if
  *     absent
  * @param restoreMillis time that a task takes to resume from its checkpoint, in milliseconds
- * @param logPartitions number of partitions of a topic of the store; 1 if absent
  * @param regions region of each data centre
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
@@ -71,7 +70,6 @@
     long closureMillis,
     double coldFactor,
     long restoreMillis,
-    int logPartitions,
     Map<String, String> regions) {
   /**
    * Time for which a worker may hold a poll. The loss of a worker's connection is detected that
@@ -173,7 +171,6 @@
     features = features == null ? List.of() : List.copyOf(features);
     contracts = contracts == null ? List.of() : List.copyOf(contracts);
     coldFactor = coldFactor == 0 ? 1 : coldFactor;
-    logPartitions = logPartitions == 0 ? 1 : logPartitions;
     regions = regions == null ? Map.of() : Map.copyOf(regions);
   }
 
@@ -208,7 +205,6 @@
     requirePositive(file, "processorSpeed", processorSpeed);
     requirePositive(file, "linkMegabits", linkMegabits);
     requirePositive(file, "coldFactor", coldFactor);
-    requirePositive(file, "logPartitions", logPartitions);
     requireNotNegative(file, "closureMillis", closureMillis);
     requireNotNegative(file, "restoreMillis", restoreMillis);
     requireKnownFeatures(file);
@@ -305,8 +301,7 @@
   public PolicySettings toPolicySettings(Set<Feature> contractFeatures) {
     Set<Feature> enabled = new HashSet<>(contractFeatures);
     features.forEach(name -> Feature.find(name).ifPresent(enabled::add));
-    return new PolicySettings(
-        enabled, closureMillis, coldFactor, restoreMillis, logPartitions, regions);
+    return new PolicySettings(enabled, closureMillis, coldFactor, restoreMillis, regions);
   }
 
   /** Returns whether this VM is one of the few that follow the planner closely. */
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -116,7 +116,7 @@
             3,
             1_500,
             250_000,
-            new PolicySettings(features, CLOSURE_MILLIS, 1, 0, 1, Map.of()));
+            new PolicySettings(features, CLOSURE_MILLIS, 1, 0, Map.of()));
     random = new Random(seed);
     this.events = events;
     tasks = new SimulatedTasks(random, workers, dispatchSettings, this::crashWorker);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/dispatch/RunningTaskViewsTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/dispatch/RunningTaskViewsTest.java
@@ -67,7 +67,7 @@
   }
 
   private List<PlanView.RunningTask> views(Feature... features) {
-    PolicySettings policy = new PolicySettings(Set.of(features), 0, 1, RESTORE_MILLIS, 1, Map.of());
+    PolicySettings policy = new PolicySettings(Set.of(features), 0, 1, RESTORE_MILLIS, Map.of());
     return new RunningTaskViews(
             estimator, new SpeedEstimates(false, estimator), policy, history, 1_200)
         .build(List.of(worker), Map.of(STEP.job(), job), Set.of(), NOW, NOW);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/CallerCostOrderTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/CallerCostOrderTest.java
@@ -22,7 +22,7 @@
 /** Checks the order by caller cost under the loads of contended deployments. */
 final class CallerCostOrderTest {
   private static final PolicySettings CALLER_COST =
-      new PolicySettings(Set.of(Feature.CALLER_COST), 0, 1, 0, 1, Map.of());
+      new PolicySettings(Set.of(Feature.CALLER_COST), 0, 1, 0, Map.of());
 
   private static List<Integer> sorted(PolicySettings policy, PendingStep... steps) {
     PlanView view =
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/PreemptionTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/plan/PreemptionTest.java
@@ -32,10 +32,7 @@
   private static final GangFirstPlacer PLACER =
       new GangFirstPlacer(
           new PlanSettings(
-              3,
-              2_900,
-              400,
-              new PolicySettings(Set.of(Feature.STOP_HISTORY), 0, 1, 0, 1, Map.of())));
+              3, 2_900, 400, new PolicySettings(Set.of(Feature.STOP_HISTORY), 0, 1, 0, Map.of())));
 
   private final List<WorkerView> workers = new ArrayList<>();
   private final List<RunningTask> running = new ArrayList<>();
