--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
@@ -80,22 +80,6 @@
         PolicySettings.NONE);
   }
 
-  /** Returns these settings with other optional policies. */
-  public DispatchSettings withPolicy(PolicySettings other) {
-    return new DispatchSettings(
-        leaseMillis,
-        pollWaitMillis,
-        callTimeoutMillis,
-        renewMillis,
-        maxUnconfirmedMillis,
-        reclaimMillis,
-        stopMillis,
-        farFactor,
-        heartbeatMillis,
-        linkBytesPerSecond,
-        other);
-  }
-
   /** Returns the bytes of starts that may be under way at once. */
   public long maxStartBytesInFlight() {
     return linkBytesPerSecond * MAX_START_LINK_MILLIS / MILLIS_PER_SECOND;
