Show that a crash went uncounted once its worker had left the list

The test of crashes around a change of planner also passed without the records of workers, since the next planner came before the worker left the list. With nobody planning for 6 s it fails without them and passes with them, so it guards against the fault that it names.

--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/InheritedRunTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/InheritedRunTest.java
@@ -70,9 +70,8 @@
     }
   }
 
-  // A crash that only the next planner could notice was not counted against the task.
-  @Test
-  void countsCrashesThatHappenAroundChangesOfPlanner() {
+  /** Lets a task crash its workers while nobody plans, and checks how often it was started. */
+  private static void crashWhileNobodyPlans(long downMillis) {
     for (int seed = 1; seed <= 8; seed++) {
       SimulatedCluster cluster = new SimulatedCluster(seed, 5, 12, Events.NONE);
       cluster.time().pass(4_000);
@@ -80,10 +79,10 @@
       cluster.submit(id(1), job(1, 2_000), 1);
       for (int round = 0; round < 12; round++) {
         int before = cluster.oracle().starts();
-        for (int i = 0; i < 400 && cluster.oracle().starts() == before; i++) {
+        for (int i = 0; i < 600 && cluster.oracle().starts() == before; i++) {
           cluster.time().pass(50);
         }
-        cluster.planner().ifPresent(planner -> cluster.kill(planner, 9_000));
+        cluster.vmNames().forEach(name -> cluster.kill(name, downMillis));
       }
       cluster.time().pass(60_000);
       assertThat(cluster.oracle().violations()).isEmpty();
@@ -91,6 +90,18 @@
     }
   }
 
+  // A crash that only the next planner could notice was not counted against the task.
+  @Test
+  void countsCrashesDuringAShortTimeWithoutPlanner() {
+    crashWhileNobodyPlans(500);
+  }
+
+  // As above, and the crashed worker has left the list before the next planner reads it.
+  @Test
+  void countsCrashesOfWorkersThatHaveLeftTheListSince() {
+    crashWhileNobodyPlans(6_000);
+  }
+
   // A worker that has announced its end was awaited in the list for seconds after it had left.
   @Test
   void doesNotWaitForTheListOnceAWorkerHasLeftAsAnnounced() {
