Measure the start of a process from exec to its first run

Cause: callers of a VM that lost power meet a closed port until its process is back, and nothing measured what that time consists of.

--- /dev/null
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/start/EdgeProcess.java
@@ -0,0 +1,114 @@
+package org.peridotroute.bench.start;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * A process on an entry VM, started from the jar with the command of the deploy file. Used by one
+ * thread.
+ */
+final class EdgeProcess {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final Path home;
+  private final Path settings;
+  private final Path output;
+  private final List<String> prefix;
+  private final List<String> jvmOptions;
+  private Process process;
+  private long startNanos;
+
+  /**
+   * Creates a process that is not yet started.
+   *
+   * @param home root of the repository, where the process runs
+   * @param settings its settings file
+   * @param output file that its output goes to
+   * @param prefix words before the command, such as those that pin it to a core
+   * @param jvmOptions options of the JVM besides those of the deploy file
+   */
+  EdgeProcess(Path home, Path settings, Path output, List<String> prefix, List<String> jvmOptions) {
+    this.home = home;
+    this.settings = settings;
+    this.output = output;
+    this.prefix = prefix;
+    this.jvmOptions = jvmOptions;
+  }
+
+  /** Starts the process as the deploy file says. */
+  void start() throws IOException {
+    List<String> command = new ArrayList<>(prefix);
+    List<String> deployed = deployedCommand();
+    command.add(deployed.get(0));
+    command.addAll(jvmOptions);
+    command.addAll(deployed.subList(1, deployed.size()));
+    ProcessBuilder builder =
+        new ProcessBuilder(command)
+            .directory(home.toFile())
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
+            .redirectError(ProcessBuilder.Redirect.appendTo(output.toFile()));
+    builder.environment().put("PERIDOTROUTE_CONFIG", settings.toString());
+    startNanos = System.nanoTime();
+    process = builder.start();
+  }
+
+  private List<String> deployedCommand() throws IOException {
+    for (String line : Files.readAllLines(home.resolve("deploy/system.toml"))) {
+      if (line.startsWith("run = \"")) {
+        return List.of(line.substring("run = \"".length(), line.lastIndexOf('"')).split(" "));
+      }
+    }
+    throw new IOException("no run command in deploy/system.toml");
+  }
+
+  /** Kills the process and waits until it has ended. */
+  void kill() throws InterruptedException {
+    process.destroyForcibly().waitFor();
+  }
+
+  /** Stops the process with SIGTERM and waits until it has ended. */
+  void stop() throws InterruptedException {
+    process.destroy();
+    process.waitFor();
+  }
+
+  /** Returns the time since the start in milliseconds. */
+  long ageMillis() {
+    return (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+  }
+
+  /** Returns the processor time that all threads have used, in milliseconds. */
+  double cpuMillis() throws IOException {
+    long nanos = 0;
+    try (Stream<Path> threads = Files.list(Path.of("/proc", "" + process.pid(), "task"))) {
+      for (Path thread : threads.toList()) {
+        nanos += onCpuNanos(thread.resolve("schedstat"));
+      }
+    }
+    return (double) nanos / NANOS_PER_MILLI;
+  }
+
+  private static long onCpuNanos(Path schedstat) throws IOException {
+    try {
+      return Long.parseLong(Files.readString(schedstat).split(" ", 2)[0]);
+    } catch (NoSuchFileException e) {
+      // The thread has ended since the directory was listed.
+      return 0;
+    }
+  }
+
+  /** Returns the resident memory in megabytes. */
+  double residentMb() throws IOException {
+    for (String line : Files.readAllLines(Path.of("/proc", "" + process.pid(), "status"))) {
+      if (line.startsWith("VmHWM:")) {
+        return Double.parseDouble(line.replaceAll("\\D", "")) / 1024;
+      }
+    }
+    return 0;
+  }
+}
