--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -13,7 +13,20 @@
    * @param task the task
    * @param run number of the run
    */
-  record Key(TaskId task, int run) {}
+  record Key(TaskId task, int run) {
+    // Key of maps: the methods that the compiler generates for records are linked at their first
+    // call,
+    // which takes some milliseconds of a process's start for each record.
+    @Override
+    public boolean equals(Object object) {
+      return object instanceof Key other && run == other.run && task.equals(other.task);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * task.hashCode() + run;
+    }
+  }
 
   /** State of a run. */
   enum State {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/JobId.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/JobId.java
@@ -28,6 +28,19 @@
     return FORMAT.matcher(text).matches();
   }
 
+  // Key of maps: the methods that the compiler generates for records are linked at their first
+  // call,
+  // which takes some milliseconds of a process's start for each record.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof JobId other && value.equals(other.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public int compareTo(JobId other) {
     return value.compareTo(other.value);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/TaskId.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/TaskId.java
@@ -36,6 +36,19 @@
     }
   }
 
+  // Key of maps: the methods that the compiler generates for records are linked at their first
+  // call,
+  // which takes some milliseconds of a process's start for each record.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof TaskId other && index == other.index && step.equals(other.step);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * step.hashCode() + index;
+  }
+
   @Override
   public String toString() {
     return step + "." + index;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
@@ -1,16 +1,11 @@
 package org.peridotroute.scheduler.table;
 
-import com.fasterxml.jackson.annotation.JsonAutoDetect;
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.annotation.PropertyAccessor;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.peridotroute.errors.RecordFormatException;
-import org.peridotroute.lib.Checks;
+import org.peridotroute.json.JsonText;
+import org.peridotroute.json.JsonValue;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.ProposedJob;
 import org.peridotroute.scheduler.model.Submission;
@@ -24,15 +19,6 @@
   private static final String SUBMISSION_PREFIX = "job/";
   private static final String CANCEL_PREFIX = "cancel/";
   private static final byte[] CANCEL_VALUE = "{}".getBytes(StandardCharsets.UTF_8);
-  private static final ObjectMapper MAPPER =
-      JsonMapper.builder()
-          .visibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
-          .visibility(PropertyAccessor.GETTER, JsonAutoDetect.Visibility.NONE)
-          .visibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE)
-          .defaultPropertyInclusion(
-              JsonInclude.Value.construct(
-                  JsonInclude.Include.NON_DEFAULT, JsonInclude.Include.ALWAYS))
-          .build();
 
   private RequestCodec() {}
 
@@ -43,12 +29,9 @@
    * @return its record
    */
   public static KeyedRecord writeSubmission(Submission submission) {
-    try {
-      return KeyedRecord.of(
-          SUBMISSION_PREFIX + submission.id(), MAPPER.writeValueAsBytes(submission));
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("cannot encode submission " + submission.id(), e);
-    }
+    return KeyedRecord.of(
+        SUBMISSION_PREFIX + submission.id(),
+        JsonText.object(text -> SubmissionJson.write(text, submission)));
   }
 
   /**
@@ -99,7 +82,7 @@
    * @throws org.peridotroute.errors.InvalidValueException if the file contains no job
    */
   public static ProposedJob readProposedJob(byte[] json) throws IOException {
-    return Checks.present("job", MAPPER.readValue(json, ProposedJob.class));
+    return JobFile.read(json);
   }
 
   /**
@@ -111,7 +94,7 @@
    */
   public static Submission readSubmission(KeyedRecord record) throws RecordFormatException {
     try {
-      return MAPPER.readValue(record.value(), Submission.class);
+      return SubmissionJson.read(JsonValue.parse(record.value()));
     } catch (IOException | IllegalArgumentException e) {
       throw RecordFormatException.unreadable("requests", record.offset(), e.getMessage());
     }
--- a/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
+++ b/org.peridotroute.server/src/org/peridotroute/server/edge/EdgeSettings.java
@@ -2,18 +2,17 @@
 
 import static java.util.stream.Collectors.joining;
 
-import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
-import com.fasterxml.jackson.core.json.JsonReadFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.peridotroute.json.JsonValue;
 import org.peridotroute.scheduler.dispatch.DispatchSettings;
 import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.PolicySettings;
@@ -49,7 +48,6 @@
  * @param restoreMillis time that a task takes to resume from its checkpoint, in milliseconds
  * @param regions region of each data centre
  */
-@JsonIgnoreProperties(ignoreUnknown = true)
 public record EdgeSettings(
     String vm,
     String dataCentre,
@@ -159,12 +157,6 @@
   /** Longest time that a caller's request waits for the log; below the callers' own deadline. */
   private static final long REQUEST_TIMEOUT_MILLIS = 2_000;
 
-  private static final ObjectMapper MAPPER =
-      JsonMapper.builder()
-          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
-          .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
-          .build();
-
   /** Sets the defaults of absent fields. */
   public EdgeSettings {
     linkMegabits = linkMegabits == 0 ? DEFAULT_LINK_MEGABITS : linkMegabits;
@@ -183,7 +175,7 @@
    */
   public static EdgeSettings read(Path path) throws SettingsException {
     try {
-      EdgeSettings settings = MAPPER.readValue(Files.readString(path), EdgeSettings.class);
+      EdgeSettings settings = of(JsonValue.parseWithComments(Files.readString(path)));
       settings.validate(path.toString());
       return settings;
     } catch (IOException e) {
@@ -192,6 +184,42 @@
     }
   }
 
+  private static EdgeSettings of(JsonValue file) {
+    return new EdgeSettings(
+        file.get("vm").text(null),
+        file.get("dataCentre").text(null),
+        file.get("callers").text(null),
+        file.get("readiness").text(null),
+        file.get("store").text(null),
+        file.get("leaseMillis").number(0),
+        file.get("stopMillis").number(0),
+        file.get("reclaimMillis").number(0),
+        file.get("farFactor").decimal(0),
+        file.get("heartbeatMillis").number(0),
+        file.get("graceSeconds").decimal(0),
+        file.get("processorShare").decimal(0),
+        file.get("processorSpeed").decimal(0),
+        file.get("linkMegabits").decimal(0),
+        texts(file.get("features")),
+        texts(file.get("contracts")),
+        file.get("closureMillis").number(0),
+        file.get("coldFactor").decimal(0),
+        file.get("restoreMillis").number(0),
+        textsByName(file.get("regions")));
+  }
+
+  private static List<String> texts(JsonValue list) {
+    List<String> texts = new ArrayList<>();
+    list.forEach(item -> texts.add(item.text("")));
+    return texts;
+  }
+
+  private static Map<String, String> textsByName(JsonValue object) {
+    Map<String, String> texts = new HashMap<>();
+    object.fields().forEach((name, value) -> texts.put(name, value.text("")));
+    return texts;
+  }
+
   private void validate(String file) throws SettingsException {
     requireText(file, "vm", vm);
     requireText(file, "callers", callers);
--- a/org.peridotroute/src/org/peridotroute/lib/WorkerId.java
+++ b/org.peridotroute/src/org/peridotroute/lib/WorkerId.java
@@ -15,6 +15,19 @@
     Checks.name("worker", value);
   }
 
+  // Key of maps: the methods that the compiler generates for records are linked at their first
+  // call,
+  // which takes some milliseconds of a process's start for each record.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof WorkerId other && value.equals(other.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public int compareTo(WorkerId other) {
     return value.compareTo(other.value);
