Keep since when a worker is silent over changes of planner

Cause: a new planner assumed that its predecessor might extend the leases of every worker for 10 s more, counted from its own takeover, and let a run on a worker that is gone count as alive for 16.4 s more.

Change: after two calls without a reply the planner stores in the worker's record how long its leases last at most, and extends none until a record without the silence is stored. A successor bounds the leases by when it read that record. Without one it counts from its predecessor's last record; from its own claim if the predecessor has ended (resigned, or a former incarnation of the same VM) and its term is settled, which is when no planner before it can extend leases (record !settled). A planner whose machine was suspended counts the suspended time too before it extends leases.

Ruled out: the wall clock in the record, since the clocks of machines differ by an unknown amount.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -1,7 +1,6 @@
 package org.peridotroute.scheduler.dispatch;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -66,6 +65,7 @@
   private static final long MAX_WORKER_LIST_AGE_MILLIS = 3_000;
 
   private final Term term;
+  private final Inheritance inheritance;
   private final DispatchSettings settings;
   private final Time time;
   private final DispatchEvents dispatchEvents;
@@ -94,6 +94,7 @@
   private long workersCurrentAsOfMillis = Long.MIN_VALUE;
   private long lastPassMillis;
   private long lastPassTookMillis;
+  private boolean settled;
   private boolean closed;
 
   /** Called by a dispatcher on the control thread. */
@@ -132,16 +133,17 @@
    * @param term the term
    * @param settings timing settings
    * @param ports external interfaces
-   * @param inherited what earlier planners knew of workers with assigned runs
+   * @param inheritance what is known of earlier terms
    * @param listener receives what the term brings about
    */
   public Dispatcher(
       Term term,
       DispatchSettings settings,
       Ports ports,
-      Collection<WorkerRecord> inherited,
+      Inheritance inheritance,
       Listener listener) {
     this.term = term;
+    this.inheritance = inheritance;
     this.settings = settings;
     this.listener = listener;
     loadMeter = new LoadMeter(term, durationEstimator);
@@ -155,7 +157,12 @@
     health =
         conduct
             ? new ConductHealth(
-                time, ports.events(), jobs, durationEstimator, inherited, this::storeConduct)
+                time,
+                ports.events(),
+                jobs,
+                durationEstimator,
+                inheritance.records(),
+                this::storeConduct)
             : new FailureQuarantine(time);
     viewBuilder =
         new PlanViewBuilder(durationEstimator, speeds, stopHistory, settings, time.steadyMillis());
@@ -167,14 +174,22 @@
             time,
             ports.events(),
             outcome -> stepDown("log append ended with " + outcome),
-            settings.maxProofAgeMillis());
+            settings.maxProofAgeMillis(),
+            inheritance.claimedMillis());
     workerManager =
         new WorkerManager(
-            ports.gateway(), settings, term, ports.control(), time, ports.events(), this);
+            ports.gateway(),
+            settings,
+            term,
+            ports.control(),
+            time,
+            ports.events(),
+            inheritance.grantsEndMillis(),
+            this);
     runStopper = new RunStopper(workerManager, time);
     departures = new Departures(viewBuilder, runStopper, dispatchEvents, settings.stopMillis());
-    inherited.forEach(workerManager::inherit);
-    workerRecords = new WorkerRecords(inherited, journal::store, time.steadyMillis());
+    inheritance.workers().forEach(workerManager::inherit);
+    workerRecords = new WorkerRecords(inheritance.records(), journal::store, time.steadyMillis());
   }
 
   /** Returns the term. */
@@ -295,6 +310,10 @@
     health.review(workerManager.workers());
     long now = time.steadyMillis();
     workerRecords.prune(id -> workerManager.find(id) != null, now);
+    if (!settled && now >= inheritance.grantsEndMillis()) {
+      settled = true;
+      journal.store(term.settledRecord());
+    }
     long interval =
         passNeeded
             ? Math.min(
@@ -521,6 +540,11 @@
         : job.endRun(key.task(), key.run(), worker, end, checkpoint);
   }
 
+  @Override
+  public void onSilenceChanged(WorkerState workerState) {
+    workerRecords.updateIfStored(workerState);
+  }
+
   @Override
   public WorkerHealth health() {
     return health;
@@ -538,7 +562,7 @@
 
   @Override
   public boolean mayExtendLeases() {
-    return time.steadyMillis() - journal.confirmedMillis() <= settings.maxUnconfirmedMillis();
+    return journal.unconfirmedMillis() <= settings.maxUnconfirmedMillis();
   }
 
   @Override
--- /dev/null
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Inheritance.java
@@ -0,0 +1,28 @@
+package org.peridotroute.scheduler.dispatch;
+
+import java.util.Collection;
+import java.util.List;
+
+/**
+ * What a planner knows of earlier terms when its own begins.
+ *
+ * @param workers what is stored of workers with assigned runs
+ * @param claimedMillis steady time at which the claim of the term was sent
+ * @param grantsEndMillis steady time from which no earlier planner extends leases
+ */
+public record Inheritance(
+    List<StoredWorkerRecord> workers, long claimedMillis, long grantsEndMillis) {
+  /** Copies the list. */
+  public Inheritance {
+    workers = List.copyOf(workers);
+  }
+
+  /** Returns the inheritance of a planner that has no predecessor. */
+  public static Inheritance none(long nowMillis) {
+    return new Inheritance(List.of(), nowMillis, nowMillis);
+  }
+
+  Collection<WorkerRecord> records() {
+    return workers.stream().map(StoredWorkerRecord::record).toList();
+  }
+}
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Journal.java
@@ -53,6 +53,7 @@
   private boolean awaitingReply;
   private boolean outcomeWasUnknown;
   private long confirmedMillis;
+  private long confirmedWallMillis;
   private boolean closed;
 
   /**
@@ -60,6 +61,7 @@
    *
    * @param onSuperseded called when the log reports that another planner has taken over
    * @param maxProofAgeMillis age up to which a reply proves that no other planner has taken over
+   * @param claimedMillis steady time at which the claim of the term was sent
    */
   Journal(
       KeyedLog log,
@@ -68,7 +70,8 @@
       Time time,
       Events events,
       Consumer<AppendOutcome> onSuperseded,
-      long maxProofAgeMillis) {
+      long maxProofAgeMillis,
+      long claimedMillis) {
     this.log = log;
     this.term = term;
     this.control = control;
@@ -77,7 +80,8 @@
     this.onSuperseded = onSuperseded;
     this.maxProofAgeMillis = maxProofAgeMillis;
     sequence = term.sequence();
-    confirmedMillis = time.steadyMillis();
+    confirmedMillis = claimedMillis;
+    confirmedWallMillis = time.wallMillis() - (time.steadyMillis() - claimedMillis);
   }
 
   /** Adds a job to the next append. */
@@ -103,6 +107,14 @@
     return confirmedMillis;
   }
 
+  /**
+   * Returns the time since the last append that confirmed the term was sent. Both clocks count,
+   * because the steady clock of a suspended machine stands still.
+   */
+  long unconfirmedMillis() {
+    return Math.max(time.steadyMillis() - confirmedMillis, time.wallMillis() - confirmedWallMillis);
+  }
+
   /** Returns whether an append has been without a confirmation for longer than a threshold. */
   boolean isStalled(long nowMillis, long thresholdMillis) {
     return inFlight != null && nowMillis - firstSentMillis > thresholdMillis;
@@ -135,11 +147,12 @@
       startAppend(now);
     }
     awaitingReply = true;
+    long sentWallMillis = time.wallMillis();
     Replies.deliver(
         log.append(
             Topic.PROGRESS, inFlight, -1, new KeyedLog.Fence(Term.ROLE, term.epoch(), sequence)),
         control,
-        reply -> onAppendReply(reply, now));
+        reply -> onAppendReply(reply, now, sentWallMillis));
   }
 
   private void startAppend(long now) {
@@ -166,13 +179,13 @@
     firstSentMillis = now;
   }
 
-  private void onAppendReply(AppendReply reply, long sentMillis) {
+  private void onAppendReply(AppendReply reply, long sentMillis, long sentWallMillis) {
     awaitingReply = false;
     if (closed) {
       return;
     }
     switch (reply.outcome()) {
-      case APPENDED -> onAppended(sentMillis);
+      case APPENDED -> onAppended(sentMillis, sentWallMillis);
       case REFUSED, UNKNOWN -> {
         outcomeWasUnknown |= reply.outcome() == AppendOutcome.UNKNOWN;
         retryAtMillis = time.steadyMillis() + RETRY_MILLIS;
@@ -194,7 +207,7 @@
     }
   }
 
-  private void onAppended(long sentMillis) {
+  private void onAppended(long sentMillis, long sentWallMillis) {
     long ageMillis = time.steadyMillis() - sentMillis;
     boolean confirmsTerm = !outcomeWasUnknown && ageMillis <= maxProofAgeMillis;
     sequence++;
@@ -203,6 +216,7 @@
     inFlightActions = List.of();
     if (confirmsTerm) {
       confirmedMillis = sentMillis;
+      confirmedWallMillis = sentWallMillis;
       actions.forEach(Runnable::run);
     } else {
       events.info(
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunCalls.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunCalls.java
@@ -165,6 +165,7 @@
               && !attempt.isSuspect()
               && !attempt.isStopRequested()
               && worker.hasSeenToken()
+              && worker.leaseHold().mayExtend()
               && !worker.isInClosedDataCentre()
               && listener.mayStart();
       if (mayRepeat) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Term.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Term.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.peridotroute.scheduler.port.KeyedRecord;
 
 /**
@@ -16,6 +17,12 @@
   /** Key of the claim record in the progress topic. */
   public static final String KEY = "!planner";
 
+  /**
+   * Key of the record that names the term for which no planner of an earlier one extends leases any
+   * more.
+   */
+  public static final String SETTLED_KEY = "!settled";
+
   /** Name of the planner role in fences of the log. */
   public static final String ROLE = "planner";
 
@@ -41,6 +48,25 @@
     return record(RESIGNED_STATE);
   }
 
+  /** Returns the record that says that no planner of an earlier term extends leases any more. */
+  KeyedRecord settledRecord() {
+    return KeyedRecord.of(SETTLED_KEY, Long.toString(epoch).getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * Parses the epoch of a settled term.
+   *
+   * @param value value of the record
+   * @return the epoch, or empty if the value is malformed
+   */
+  public static OptionalLong readSettled(byte[] value) {
+    try {
+      return OptionalLong.of(Long.parseLong(new String(value, StandardCharsets.UTF_8)));
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+
   private KeyedRecord record(String state) {
     String text = String.join(SEPARATOR, Long.toString(epoch), holder, incarnation, state);
     return KeyedRecord.of(KEY, text.getBytes(StandardCharsets.UTF_8));
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -33,6 +33,9 @@
   /** Delay before a failed call is retried. */
   static final long RETRY_MILLIS = 300;
 
+  /** Calls in a row without a reply after which the log says that a worker is silent. */
+  private static final int MIN_SILENT_CALLS = 2;
+
   /** Called by the manager on the control thread. */
   interface Listener {
     /**
@@ -60,6 +63,9 @@
     /** Called when a worker has seen a greater fencing token. */
     void onFenced(WorkerId by);
 
+    /** Called when it has changed whether the record of a worker has to say that it is silent. */
+    void onSilenceChanged(WorkerState worker);
+
     /** Returns what limits the new work of workers. */
     WorkerHealth health();
 
@@ -89,6 +95,7 @@
       Executor control,
       Time time,
       Events events,
+      long grantsEndMillis,
       Listener listener) {
     this.gateway = gateway;
     this.settings = settings;
@@ -99,8 +106,7 @@
     this.listener = listener;
     silences = new WorkerSilences(listener);
     runCalls = new RunCalls(this, gateway, settings, term, control, time, events, listener);
-    inheritedLeasesExpireMillis =
-        time.steadyMillis() + settings.maxUnconfirmedMillis() + settings.leaseExpiryMillis();
+    inheritedLeasesExpireMillis = grantsEndMillis + settings.leaseExpiryMillis();
   }
 
   void close() {
@@ -134,8 +140,8 @@
   }
 
   /** Adopts what an earlier planner knew of a worker. */
-  void inherit(WorkerRecord record) {
-    getOrCreate(record.id()).inherit(record);
+  void inherit(StoredWorkerRecord stored) {
+    getOrCreate(stored.record().id()).inherit(stored);
   }
 
   /** Handles the description that a worker publishes of itself. */
@@ -195,6 +201,7 @@
     runCalls.sendWaitingStarts();
     for (WorkerState worker : List.copyOf(workers.values())) {
       expireLeases(worker, now);
+      holdLeasesIfSilent(worker, now);
       if (worker.info() == null) {
         continue;
       }
@@ -220,6 +227,29 @@
     }
   }
 
+  /**
+   * Records that a worker is silent, once no lease that any planner has granted can last longer
+   * than one that is granted now.
+   */
+  private void holdLeasesIfSilent(WorkerState worker, long now) {
+    boolean silent =
+        worker.hasInfo()
+            && worker.unansweredCalls() >= MIN_SILENT_CALLS
+            && !worker.attempts().isEmpty();
+    if (silent
+        && !worker.leaseHold().isHeld()
+        && worker.maxLeaseMillis(now) <= settings.leaseExpiryMillis()) {
+      worker.leaseHold().hold(worker.maxLeaseMillis(now));
+      listener.onSilenceChanged(worker);
+    }
+  }
+
+  private void releaseLeases(WorkerState worker) {
+    int release = worker.leaseHold().beginRelease();
+    listener.onSilenceChanged(worker);
+    listener.afterStored(() -> worker.leaseHold().onReleaseStored(release));
+  }
+
   private void endSentAttempts(WorkerState worker, String evidence) {
     for (Attempt attempt : List.copyOf(worker.attempts())) {
       if (attempt.state() != Attempt.State.PLANNED) {
@@ -303,6 +333,7 @@
     boolean extend =
         workerClock >= 0
             && worker.unansweredCalls() == 0
+            && worker.leaseHold().mayExtend()
             && !worker.attempts().isEmpty()
             && listener.mayExtendLeases();
     long leaseEnd = extend ? workerClock + settings.leaseMillis() : -1;
@@ -373,6 +404,9 @@
       silences.end(worker);
     }
     worker.onReplyClock(reply.clockMillis(), now);
+    if (worker.leaseHold().isHeld()) {
+      releaseLeases(worker);
+    }
     if (!worker.hasSeenToken()) {
       worker.markTokenSeen(reply.startedAtMillis(), now + settings.leaseExpiryMillis());
       listener.onChanged();
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerRecord.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerRecord.java
@@ -18,12 +18,24 @@
  * @param startedAtMillis start of its incarnation on the worker's wall clock, 0 if unknown
  * @param draining whether it had announced that it leaves
  * @param conduct its quarantines
+ * @param silentLeaseMillis if it did not reply, the longest time from when the record was sent to
+ *     the log that any of its leases lasts, since none is extended until another record is stored;
+ *     -1 if it replied
  */
 public record WorkerRecord(
-    WorkerId id, String address, long startedAtMillis, boolean draining, SavedConduct conduct) {
+    WorkerId id,
+    String address,
+    long startedAtMillis,
+    boolean draining,
+    SavedConduct conduct,
+    long silentLeaseMillis) {
   private static final String KEY_PREFIX = "!worker/";
   private static final String SEPARATOR = " ";
   private static final int FIELD_COUNT = 3;
+  private static final int SILENT_FIELD = 4;
+
+  /** Value of {@link #silentLeaseMillis} of a worker that replied. */
+  static final long REPLIES = -1;
 
   /** Returns the record of a worker as it is known now. */
   static WorkerRecord of(WorkerState worker) {
@@ -32,16 +44,25 @@
         worker.info().address(),
         Math.max(0, worker.startedAtMillis()),
         worker.info().draining(),
-        worker.restraint().saved());
+        worker.restraint().saved(),
+        worker.leaseHold().isHeld() ? worker.leaseHold().heldLeaseMillis() : REPLIES);
+  }
+
+  /** Returns whether the worker did not reply. */
+  boolean isSilent() {
+    return silentLeaseMillis >= 0;
   }
 
   /** Returns the record to store. */
   KeyedRecord toRecord() {
     String text =
         String.join(SEPARATOR, address, Long.toString(startedAtMillis), Boolean.toString(draining));
-    if (!conduct.equals(SavedConduct.NONE)) {
+    if (isSilent() || !conduct.equals(SavedConduct.NONE)) {
       text += SEPARATOR + conduct.toText();
     }
+    if (isSilent()) {
+      text += SEPARATOR + silentLeaseMillis;
+    }
     return KeyedRecord.of(KEY_PREFIX + id, text.getBytes(StandardCharsets.UTF_8));
   }
 
@@ -82,12 +103,26 @@
               : SavedConduct.NONE;
       return Optional.of(
           new WorkerRecord(
-              id, fields[0], Long.parseLong(fields[1]), Boolean.parseBoolean(fields[2]), conduct));
+              id,
+              fields[0],
+              Long.parseLong(fields[1]),
+              Boolean.parseBoolean(fields[2]),
+              conduct,
+              fields.length > SILENT_FIELD ? parseLeaseMillis(fields[SILENT_FIELD]) : REPLIES));
     } catch (NumberFormatException e) {
       return Optional.empty();
     }
   }
 
+  /** Parses the silence of a worker. One that cannot be read must not lose the address. */
+  private static long parseLeaseMillis(String text) {
+    try {
+      return Math.max(0, Long.parseLong(text));
+    } catch (NumberFormatException e) {
+      return REPLIES;
+    }
+  }
+
   /** Returns a description for calls to a worker that is not listed. It offers no capacity. */
   WorkerInfo toInfo() {
     return new WorkerInfo(
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -44,6 +44,7 @@
   private long lastReplyMillis = Long.MIN_VALUE;
   private long nextPollMillis;
   private final Restraint restraint = new Restraint();
+  private final LeaseHold leaseHold = new LeaseHold();
   private boolean inClosedDataCentre;
   private long inheritedStartMillis;
   private long announcedEndMillis = Long.MAX_VALUE;
@@ -71,7 +72,13 @@
   }
 
   /** Adopts what an earlier planner knew of the worker, until the worker is listed. */
-  void inherit(WorkerRecord record) {
+  void inherit(StoredWorkerRecord stored) {
+    WorkerRecord record = stored.record();
+    if (record.isSilent()) {
+      leaseHold.hold(record.silentLeaseMillis());
+      leasesExpireMillis =
+          Math.min(leasesExpireMillis, stored.readMillis() + record.silentLeaseMillis());
+    }
     inheritedStartMillis = record.startedAtMillis();
     restraint.save(record.conduct());
     if (info == null) {
@@ -135,6 +142,7 @@
         && tokenSeen
         && !info.draining()
         && unansweredCalls == 0
+        && leaseHold.mayExtend()
         && restraint.permits(nowMillis);
   }
 
@@ -264,6 +272,16 @@
     return nowMillis > leasesExpireMillis;
   }
 
+  /** Returns the longest time that its leases last from now on. */
+  long maxLeaseMillis(long nowMillis) {
+    return Math.max(0, leasesExpireMillis - nowMillis);
+  }
+
+  /** Returns whether its leases may be extended. */
+  LeaseHold leaseHold() {
+    return leaseHold;
+  }
+
   boolean pollInFlight() {
     return pollInFlight;
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/PlannerRole.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/PlannerRole.java
@@ -48,6 +48,8 @@
   private final Time time;
   private final Events events;
   private Term.Claim lastClaim;
+  private long lastClaimSeenMillis;
+  private long settledEpoch = -1;
   private long lastHeartbeatMillis;
   private boolean claiming;
   private long nextClaimMillis;
@@ -73,6 +75,7 @@
       return;
     }
     if (lastClaim == null || claim.term().epoch() != lastClaim.term().epoch()) {
+      lastClaimSeenMillis = time.steadyMillis();
       events.info(
           "planner-seen",
           "epoch",
@@ -93,6 +96,15 @@
         : Optional.of(lastClaim.term().holder());
   }
 
+  /**
+   * Handles the record that no planner of a term before the given one extends leases any more.
+   *
+   * @param epoch epoch of the term
+   */
+  void onSettled(long epoch) {
+    settledEpoch = Math.max(settledEpoch, epoch);
+  }
+
   /** Handles any record of the planner, which counts as a heartbeat. */
   void onHeartbeat() {
     lastHeartbeatMillis = time.steadyMillis();
@@ -103,9 +115,9 @@
    * no planner yet or it has resigned, and the claim delay has passed.
    *
    * @param nextOffset offset up to which this VM has read the progress
-   * @param onElected receives the term if the claim is stored
+   * @param onElected receives the election if the claim is stored
    */
-  void claimIfVacant(long nextOffset, Consumer<Term> onElected) {
+  void claimIfVacant(long nextOffset, Consumer<Election> onElected) {
     if (canClaim() && isVacant()) {
       claim(nextOffset, onElected);
     }
@@ -119,10 +131,14 @@
    * @param sentMillis steady time at which the read was sent
    * @param endOffset end of the progress topic as of the read
    * @param nextOffset offset up to which this VM has read the progress
-   * @param onElected receives the term if the claim is stored
+   * @param onElected receives the election if the claim is stored
    */
   void claimIfTimedOut(
-      boolean empty, long sentMillis, long endOffset, long nextOffset, Consumer<Term> onElected) {
+      boolean empty,
+      long sentMillis,
+      long endOffset,
+      long nextOffset,
+      Consumer<Election> onElected) {
     if (canClaim()
         && endOffset == nextOffset
         && (isVacant() || (empty && hasTimedOut(sentMillis)))) {
@@ -134,8 +150,10 @@
     return !claiming && time.steadyMillis() >= nextClaimMillis;
   }
 
-  private void claim(long endOffset, Consumer<Term> onElected) {
+  private void claim(long endOffset, Consumer<Election> onElected) {
     claiming = true;
+    long now = time.steadyMillis();
+    long grantsEndMillis = grantsEndMillis(now);
     Term term =
         new Term(
             endOffset,
@@ -149,7 +167,7 @@
         "former",
         lastClaim == null ? "none" : lastClaim.term().holder(),
         "silentMillis",
-        time.steadyMillis() - lastHeartbeatMillis);
+        now - lastHeartbeatMillis);
     Replies.deliver(
         log.append(
             Topic.PROGRESS,
@@ -157,7 +175,32 @@
             endOffset,
             new KeyedLog.Fence(Term.ROLE, term.epoch(), term.sequence())),
         control,
-        reply -> onClaimReply(term, reply, onElected));
+        reply -> onClaimReply(new Election(term, now, grantsEndMillis), reply, onElected));
+  }
+
+  /**
+   * Returns the steady time from which no planner of an earlier term extends leases. A planner
+   * extends them only for a limited time after it has sent the last append that the log has
+   * confirmed, and all its appends have been read here before a claim.
+   */
+  private long grantsEndMillis(long nowMillis) {
+    if (lastClaim == null) {
+      return nowMillis;
+    }
+    long maxUnconfirmedMillis = settings.dispatch().maxUnconfirmedMillis();
+    if (!hasEnded(lastClaim)) {
+      return lastHeartbeatMillis + maxUnconfirmedMillis;
+    }
+    boolean settled = lastClaim.term().epoch() == settledEpoch;
+    return settled ? nowMillis : lastClaimSeenMillis + maxUnconfirmedMillis;
+  }
+
+  /**
+   * Returns whether the planner of a term makes no calls any more, whatever it knows of the log.
+   */
+  private boolean hasEnded(Term.Claim claim) {
+    // A former incarnation of this process is gone, and this one makes no claim while it plans.
+    return claim.resigned() || claim.term().holder().equals(settings.vm());
   }
 
   /**
@@ -183,15 +226,17 @@
         && quietBeforeReadMillis >= settings.plannerTimeoutMillis() * MIN_QUIET_BEFORE_READ;
   }
 
-  private void onClaimReply(Term term, KeyedLog.AppendReply reply, Consumer<Term> onElected) {
+  private void onClaimReply(
+      Election election, KeyedLog.AppendReply reply, Consumer<Election> onElected) {
     claiming = false;
+    Term term = election.term();
     // The log repeats its earlier reply for a sequence number that it has seen, whichever VM sends
     // it. Only the offset shows whether the stored claim is this one.
     boolean own = reply.firstOffset() == term.epoch();
     if (reply.outcome() == AppendOutcome.APPENDED && own) {
       lastClaim = new Term.Claim(term, false);
-      onElected.accept(
-          new Term(term.epoch(), term.holder(), term.incarnation(), term.sequence() + 1));
+      Term next = new Term(term.epoch(), term.holder(), term.incarnation(), term.sequence() + 1);
+      onElected.accept(new Election(next, election.claimedMillis(), election.grantsEndMillis()));
       return;
     }
     events.info("planner-claim-failed", "epoch", term.epoch(), "outcome", reply.outcome());
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -1,16 +1,14 @@
 package org.peridotroute.scheduler.node;
 
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import org.peridotroute.errors.RecordFormatException;
-import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
+import org.peridotroute.scheduler.dispatch.Inheritance;
 import org.peridotroute.scheduler.dispatch.Term;
-import org.peridotroute.scheduler.dispatch.WorkerRecord;
 import org.peridotroute.scheduler.load.AcceptAll;
 import org.peridotroute.scheduler.load.LoadHistory;
 import org.peridotroute.scheduler.load.LoadSummary;
@@ -73,7 +71,7 @@
   private final Events events;
   private final Executor control;
   private final Map<JobId, JobEntry> entries = new ConcurrentHashMap<>();
-  private final Map<WorkerId, WorkerRecord> workerRecords = new HashMap<>();
+  private final StoredWorkers storedWorkers = new StoredWorkers();
   private final RequestWriter writer;
   private final TopicFollower requests;
   private final TopicFollower progress;
@@ -367,7 +365,7 @@
   private final class ProgressListener implements TopicFollower.Listener {
     @Override
     public void onRecord(KeyedRecord record) {
-      WorkerRecord.worker(record.key()).ifPresent(id -> onWorkerRecord(id, record.value()));
+      storedWorkers.onRecord(record, time.steadyMillis());
       if (record.value() == null) {
         return;
       }
@@ -376,6 +374,9 @@
         return;
       }
       role.onHeartbeat();
+      if (record.key().equals(Term.SETTLED_KEY)) {
+        Term.readSettled(record.value()).ifPresent(role::onSettled);
+      }
       if (record.key().equals(LoadSummary.KEY)) {
         LoadSummary.read(record.value())
             .ifPresent(summary -> loadHistory.add(summary, time.steadyMillis()));
@@ -392,13 +393,6 @@
       }
     }
 
-    private void onWorkerRecord(WorkerId id, byte[] value) {
-      workerRecords.remove(id);
-      if (value != null) {
-        WorkerRecord.read(id, value).ifPresent(record -> workerRecords.put(id, record));
-      }
-    }
-
     @Override
     public void onRead(boolean empty, long sentMillis, long endOffset) {
       if (dispatcher == null && canPlan()) {
@@ -408,17 +402,18 @@
     }
   }
 
-  private void onElected(Term term) {
+  private void onElected(Election election) {
     progress.stop();
     requests.catchUp(
-        () -> takeOver(term),
+        () -> takeOver(election),
         () -> {
-          events.warn("planner-start-failed", "epoch", term.epoch());
+          events.warn("planner-start-failed", "epoch", election.term().epoch());
           progress.start();
         });
   }
 
-  private void takeOver(Term term) {
+  private void takeOver(Election election) {
+    Term term = election.term();
     if (leaving) {
       role.resign(term);
       progress.start();
@@ -426,8 +421,20 @@
     }
     dispatcher =
         new Dispatcher(
-            term, settings.dispatch(), ports, workerRecords.values(), new DispatcherListener(term));
-    events.info("planner-started", "epoch", term.epoch(), "jobs", entries.size());
+            term,
+            settings.dispatch(),
+            ports,
+            new Inheritance(
+                storedWorkers.records(), election.claimedMillis(), election.grantsEndMillis()),
+            new DispatcherListener(term));
+    events.info(
+        "planner-started",
+        "epoch",
+        term.epoch(),
+        "jobs",
+        entries.size(),
+        "grantsEndInMillis",
+        Math.max(0, election.grantsEndMillis() - time.steadyMillis()));
     dispatcher.configure(configuration());
     dispatcher.setClosures(operatorRecords.closures(configurations.currentAsOfMillis()));
     for (JobEntry entry : entries.values()) {
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -147,7 +147,7 @@
     Dispatcher.Ports ports =
         new Dispatcher.Ports(
             new SimulatedLogClient(time, random, log, () -> vms.get(name).logFault),
-            workerGateway,
+            workerGateway.from(name),
             control,
             time,
             events,
@@ -324,6 +324,11 @@
     workers.get(id).disconnected = disconnected;
   }
 
+  /** Disconnects a worker from all VMs but one. Its tasks go on running. */
+  public void cutFromOthers(String vm, WorkerId id) {
+    workers.get(id).reachableFrom = vm;
+  }
+
   /** Kills a VM's process and starts another after a delay. */
   public void kill(String name, long downMillis) {
     SimulatedVm vm = vms.get(name);
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.port.WorkerGateway;
@@ -71,6 +72,57 @@
     return (long) (linkFreeAtMillis - (double) time.steadyMillis());
   }
 
+  /** Returns the path from one VM. */
+  WorkerGateway from(String vm) {
+    return new PathFrom(vm);
+  }
+
+  /** The path from one VM, which may not reach all workers. */
+  private final class PathFrom implements WorkerGateway {
+    private final String vm;
+
+    PathFrom(String vm) {
+      this.vm = vm;
+    }
+
+    private <T> CompletableFuture<T> call(
+        Target target, long timeoutMillis, T unknown, Supplier<CompletableFuture<T>> request) {
+      if (host(target).isReachableFrom(vm)) {
+        return request.get();
+      }
+      CompletableFuture<T> answer = new CompletableFuture<>();
+      time.after(timeoutMillis, () -> answer.complete(unknown));
+      return answer;
+    }
+
+    @Override
+    public CompletableFuture<CallReply> start(Target target, StartRequest request) {
+      return call(
+          target,
+          callTimeoutMillis,
+          UNKNOWN,
+          () -> SimulatedWorkerGateway.this.start(target, request));
+    }
+
+    @Override
+    public CompletableFuture<CallReply> stop(Target target, TaskId task, int run, long token) {
+      return call(
+          target,
+          callTimeoutMillis,
+          UNKNOWN,
+          () -> SimulatedWorkerGateway.this.stop(target, task, run, token));
+    }
+
+    @Override
+    public CompletableFuture<PollReply> poll(Target target, PollRequest request) {
+      return call(
+          target,
+          request.waitMillis() + callTimeoutMillis,
+          failedPoll(CallOutcome.UNKNOWN),
+          () -> SimulatedWorkerGateway.this.poll(target, request));
+    }
+  }
+
   private static PollReply failedPoll(CallOutcome outcome) {
     return new PollReply(outcome, -1, 0, List.of(), List.of());
   }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
@@ -8,6 +8,9 @@
   WorkerModel incarnation;
   boolean disconnected;
 
+  /** The only VM that reaches it, null if all do. */
+  String reachableFrom;
+
   /** Fault that outlives its incarnation. */
   WorkerFault fault = WorkerFault.NONE;
 
@@ -17,6 +20,10 @@
   /** Whether its process has exited, so that connections are refused. */
   boolean gone;
 
+  boolean isReachableFrom(String vm) {
+    return reachableFrom == null || reachableFrom.equals(vm);
+  }
+
   WorkerHost(WorkerInfo info) {
     this.info = info;
   }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/PassIntervalTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/PassIntervalTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.peridotroute.scheduler.dispatch.DispatchSettings;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
+import org.peridotroute.scheduler.dispatch.Inheritance;
 import org.peridotroute.scheduler.dispatch.Term;
 import org.peridotroute.scheduler.load.LoadSummary;
 import org.peridotroute.scheduler.model.Capacity;
@@ -116,7 +117,7 @@
                   nowMillis += PASS_MILLIS;
                   return List.of();
                 }),
-            List.of(),
+            Inheritance.none(0),
             new IgnoringListener());
     Configuration configuration = new Configuration(1, List.of(), List.of(), List.of());
     dispatcher.add(pendingJob());
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/dispatch/JournalTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/dispatch/JournalTest.java
@@ -53,7 +53,8 @@
             time,
             Events.NONE,
             outcome -> {},
-            5_000);
+            5_000,
+            0);
     int jobs = 120;
     for (int i = 0; i < jobs; i++) {
       journal.markChanged(largeJob(i));
