--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -73,6 +73,7 @@
   private final Journal journal;
   private final WorkerManager workerManager;
   private final RunStopper runStopper;
+  private final PlannedStarts plannedStarts;
   private final Departures departures;
   private final WorkerRecords workerRecords;
   private final DurationEstimator durationEstimator = new DurationEstimator();
@@ -187,6 +188,7 @@
             inheritance.grantsEndMillis(),
             this);
     runStopper = new RunStopper(workerManager, time);
+    plannedStarts = new PlannedStarts(workerManager, time);
     departures = new Departures(viewBuilder, runStopper, dispatchEvents, settings.stopMillis());
     inheritance.workers().forEach(workerManager::inherit);
     workerRecords = new WorkerRecords(inheritance.records(), journal::store, time.steadyMillis());
@@ -404,7 +406,7 @@
         job.step(new TaskId(start.step(), 0))
             .orElseThrow(() -> new IllegalStateException("no step " + start.step()));
     int run = step.lastRun() + 1;
-    List<PlannedAttempt> plannedAttempts = new ArrayList<>();
+    List<PlannedStarts.Planned> plannedAttempts = new ArrayList<>();
     start
         .workers()
         .forEach(
@@ -418,49 +420,16 @@
               WorkerState workerState = workerManager.getOrCreate(worker);
               workerState.attemptsByKey().put(key, attempt);
               workerRecords.update(workerState);
-              plannedAttempts.add(new PlannedAttempt(workerState, attempt));
+              plannedAttempts.add(new PlannedStarts.Planned(workerState, attempt));
             });
     storeProgress(job);
     dispatchEvents.onPlaced(start, job, step, run);
-    journal.afterStored(() -> sendStarts(job, step, plannedAttempts));
-  }
-
-  /** An attempt whose assignment is about to be stored. */
-  private record PlannedAttempt(WorkerState workerState, Attempt attempt) {}
-
-  private void sendStarts(Job job, StepProgress step, List<PlannedAttempt> plannedAttempts) {
-    if (closed) {
-      return;
-    }
-    long now = time.steadyMillis();
-    boolean allUsable =
-        plannedAttempts.stream()
-            .map(PlannedAttempt::workerState)
-            .allMatch(worker -> worker.isUsable(now) && !worker.isOvercommitted());
-    boolean gangComplete = !step.spec().gang() || allUsable;
-    for (PlannedAttempt planned : plannedAttempts) {
-      if (planned.attempt().isEnded()) {
-        continue;
-      }
-      if (job.phase().isEnded() || planned.attempt().isStopRequested()) {
-        workerManager.withdraw(
-            planned.workerState(), planned.attempt(), "the job ended before the start was sent");
-      } else if (!gangComplete || !planned.workerState().isUsable(now)) {
-        workerManager.withdraw(
-            planned.workerState(), planned.attempt(), "an assigned worker is no longer usable");
-      } else {
-        String checkpoint = step.tasks().get(planned.attempt().key().task().index()).checkpoint();
-        workerManager
-            .runCalls()
-            .sendStart(
-                planned.workerState(),
-                planned.attempt(),
-                new StartParameters(
-                    job.submission().request().payload(),
-                    checkpoint,
-                    job.submission().terms().priority()));
-      }
-    }
+    journal.afterStored(
+        () -> {
+          if (!closed) {
+            plannedStarts.send(job, step, plannedAttempts);
+          }
+        });
   }
 
   private void preempt(PlacementDecision.Preempt decision) {
