--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -185,12 +185,11 @@
             ports.control(),
             time,
             ports.events(),
-            inheritance.grantsEndMillis(),
+            inheritance,
             this);
     runStopper = new RunStopper(workerManager, time);
     plannedStarts = new PlannedStarts(workerManager, time);
     departures = new Departures(viewBuilder, runStopper, dispatchEvents, settings.stopMillis());
-    inheritance.workers().forEach(workerManager::inherit);
     workerRecords = new WorkerRecords(inheritance.records(), journal::store, time.steadyMillis());
   }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -95,7 +95,7 @@
       Executor control,
       Time time,
       Events events,
-      long grantsEndMillis,
+      Inheritance inheritance,
       Listener listener) {
     this.gateway = gateway;
     this.settings = settings;
@@ -106,7 +106,10 @@
     this.listener = listener;
     silences = new WorkerSilences(listener);
     runCalls = new RunCalls(this, gateway, settings, term, control, time, events, listener);
-    inheritedLeasesExpireMillis = grantsEndMillis + settings.leaseExpiryMillis();
+    inheritedLeasesExpireMillis = inheritance.grantsEndMillis() + settings.leaseExpiryMillis();
+    for (StoredWorkerRecord stored : inheritance.workers()) {
+      getOrCreate(stored.record().id()).inherit(stored);
+    }
   }
 
   void close() {
@@ -139,11 +142,6 @@
     return workers.get(id);
   }
 
-  /** Adopts what an earlier planner knew of a worker. */
-  void inherit(StoredWorkerRecord stored) {
-    getOrCreate(stored.record().id()).inherit(stored);
-  }
-
   /** Handles the description that a worker publishes of itself. */
   void onListed(WorkerInfo info) {
     WorkerState worker = getOrCreate(info.id());
