Review: one odd entry among the workers' ends the planner again and again

The address of each listed entry becomes a URL on the control thread; an exception there halts the process. The stand-ins take ports below those of outgoing connections; the case of the idle workers gives way.

--- a/review/standin/review/Deployment.java
+++ b/review/standin/review/Deployment.java
@@ -2,7 +2,8 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
+import java.net.BindException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -35,6 +37,9 @@
   static final long VISIBLE_MILLIS = 3_000;
   static final long FINISH_MILLIS = 14_000;
 
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 30_000;
+
   private static final String[] ZONES = {"sahiwal-a", "hyderabad-a", "swat-a"};
 
   /** One machine of the system. */
@@ -197,10 +202,19 @@
     throw new IOException("no run command in deploy/system.toml");
   }
 
+  /** Returns a free port below those that the system gives to outgoing connections. */
   private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    for (int i = 0; i < 1_000; i++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.setReuseAddress(false);
+        socket.bind(new InetSocketAddress("127.0.0.1", port));
+        return port;
+      } catch (BindException e) {
+        continue;
+      }
     }
+    throw new IOException("no free port");
   }
 
   /** Starts all machines and waits until they are ready and one of them gives orders. */
@@ -211,6 +225,10 @@
     long until = record.millis() + 30_000;
     while (!vms.stream().allMatch(Vm::isReady) || planner() == null) {
       if (record.millis() > until) {
+        for (Vm vm : vms) {
+          record.line(vm.name + " alive " + vm.isAlive() + ", ready " + vm.isReady());
+          Files.readAllLines(vm.log).forEach(line -> record.line(vm.name + ": " + line));
+        }
         throw new IllegalStateException("the machines are not ready");
       }
       Thread.sleep(100);
