Leave out worker entries whose address cannot be called

Cause: the planner called every listed program, whatever its service, and put the address of the entry into a URL unchecked. HttpClient threw on the control thread, where an exception counts as a broken invariant and ends the process. The next process read the same entry.

Change: addresses are decoded into HostPort, an IPv4 address and a port, when an entry is read, also in the records of earlier planners. A call that cannot be sent fails its future like a refused connection. The planner calls workers with runs and workers of services that the configuration names, nobody else.

Why it works: nothing that another program writes reaches the client unchecked, and the client does not throw for any URL.

--- a/org.peridotroute.http/src/org/peridotroute/http/HttpClient.java
+++ b/org.peridotroute.http/src/org/peridotroute/http/HttpClient.java
@@ -44,6 +44,8 @@
   /** Bytes between a header's name and value and after its value. */
   private static final int HEADER_SEPARATOR_BYTES = 4;
 
+  private static final int MAX_PORT = 65_535;
+
   private static final String TIMEOUT_MESSAGE = "no response from %s within %d ms";
 
   private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
@@ -120,15 +122,36 @@
    * Sends a request with a body of any content type.
    *
    * @param request the request
-   * @return a future that completes as that of {@link #call(String, String, String, long)}
+   * @return a future that completes as that of {@link #call(String, String, String, long)}; a URL
+   *     that cannot be connected to fails the future like a refused connection
    */
   public CompletableFuture<HttpBytesReply> call(HttpCall request) {
-    Call call = new Call(request);
+    URI uri;
+    try {
+      uri = parseUrl(request.url());
+    } catch (IllegalArgumentException e) {
+      return CompletableFuture.failedFuture(connectFailure(e));
+    }
+    Call call = new Call(request, uri);
     callCount.increment();
     call.begin();
     return call.reply;
   }
 
+  private static URI parseUrl(String url) {
+    URI uri = URI.create(url);
+    if (uri.getHost() == null || uri.getPort() == 0 || uri.getPort() > MAX_PORT) {
+      throw new IllegalArgumentException("no valid host and port in the URL " + url);
+    }
+    return uri;
+  }
+
+  private static ConnectException connectFailure(Exception cause) {
+    ConnectException failure = new ConnectException(cause.getMessage());
+    failure.initCause(cause);
+    return failure;
+  }
+
   /**
    * Closes the idle connections to a server. After a failed call they are suspect, since an
    * intermediary on the path may have dropped them without closing them.
@@ -172,9 +195,9 @@
     private volatile ClientConnection connection;
     private volatile XnioExecutor.Key timer;
 
-    Call(HttpCall request) {
+    Call(HttpCall request, URI uri) {
       this.request = request;
-      uri = URI.create(request.url());
+      this.uri = uri;
     }
 
     private void startTimer() {
@@ -205,6 +228,15 @@
         send(pooled);
         return;
       }
+      try {
+        connect();
+      } catch (IllegalArgumentException e) {
+        // Thrown for a host that cannot be resolved.
+        fail(connectFailure(e));
+      }
+    }
+
+    private void connect() {
       UndertowClient.getInstance()
           .connect(
               new ClientCallback<>() {
@@ -217,9 +249,7 @@
 
                 @Override
                 public void failed(IOException e) {
-                  ConnectException refused = new ConnectException(e.getMessage());
-                  refused.initCause(e);
-                  fail(refused);
+                  fail(connectFailure(e));
                 }
               },
               URI.create("http://" + uri.getAuthority()),
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/ConductHealth.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/ConductHealth.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.peridotroute.lib.HostPort;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.conduct.ConductBook;
 import org.peridotroute.scheduler.conduct.ConductChange;
@@ -48,7 +49,7 @@
   private final Consumer<WorkerState> store;
 
   /** Workers that have crashed, by address, until their next incarnation is known. */
-  private final Map<String, WorkerId> crashedByAddress = new HashMap<>();
+  private final Map<HostPort, WorkerId> crashedByAddress = new HashMap<>();
 
   private long lastReviewMillis;
   private long lastPruneMillis;
@@ -162,7 +163,7 @@
   @Override
   public void onListed(WorkerState worker) {
     // The next incarnation may have another id at the same address.
-    String address = worker.info().address();
+    HostPort address = worker.info().address();
     WorkerId predecessor = crashedByAddress.get(address);
     if (predecessor != null && !predecessor.equals(worker.id())) {
       crashedByAddress.remove(address);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -281,6 +281,7 @@
    */
   public void configure(Configuration latest) {
     configuration = latest;
+    workerManager.configure(latest);
     passNeeded = true;
   }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.peridotroute.lib.WorkerId;
+import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.place.Closures;
 import org.peridotroute.scheduler.port.Events;
@@ -85,6 +86,7 @@
   private final WorkerSilences silences;
   private final long inheritedLeasesExpireMillis;
   private Closures closures = Closures.UNKNOWN;
+  private Configuration configuration;
   private long lastSequence;
   private boolean closed;
 
@@ -156,6 +158,7 @@
     }
     worker.markListed(info, time.steadyMillis());
     worker.setInClosedDataCentre(closures.isClosed(info.dataCentre()));
+    worker.setServiceConfigured(configuration != null && configuration.hasService(info.service()));
     probeOthersAt(worker);
   }
 
@@ -167,12 +170,20 @@
     for (WorkerState other : workers.values()) {
       boolean sameAddress =
           other.info() != null && other.info().address().equals(worker.info().address());
-      if (other != worker && sameAddress) {
+      if (other != worker && sameAddress && other.isPolled()) {
         pollAgain(other);
       }
     }
   }
 
+  /** Sets the configuration in force, which names the services. */
+  void configure(Configuration latest) {
+    configuration = latest;
+    for (WorkerState worker : workers.values()) {
+      worker.setServiceConfigured(worker.hasInfo() && latest.hasService(worker.info().service()));
+    }
+  }
+
   /** Sets the data centres that are closed for new work. */
   void setClosures(Closures latest) {
     closures = latest;
@@ -208,7 +219,7 @@
           runCalls.sendStop(worker, attempt);
         }
       }
-      if (worker.isPollDue(now) && (worker.isListed() || !worker.attempts().isEmpty())) {
+      if (worker.isPolled() && worker.isPollDue(now)) {
         poll(worker, now);
       }
       if (!worker.isListed() && worker.attempts().isEmpty() && !worker.pollInFlight()) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerRecord.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerRecord.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import org.peridotroute.errors.InvalidValueException;
+import org.peridotroute.lib.HostPort;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.conduct.SavedConduct;
 import org.peridotroute.scheduler.model.Capacity;
@@ -24,7 +26,7 @@
  */
 public record WorkerRecord(
     WorkerId id,
-    String address,
+    HostPort address,
     long startedAtMillis,
     boolean draining,
     SavedConduct conduct,
@@ -56,7 +58,11 @@
   /** Returns the record to store. */
   KeyedRecord toRecord() {
     String text =
-        String.join(SEPARATOR, address, Long.toString(startedAtMillis), Boolean.toString(draining));
+        String.join(
+            SEPARATOR,
+            address.toString(),
+            Long.toString(startedAtMillis),
+            Boolean.toString(draining));
     if (isSilent() || !conduct.equals(SavedConduct.NONE)) {
       text += SEPARATOR + conduct.toText();
     }
@@ -104,12 +110,12 @@
       return Optional.of(
           new WorkerRecord(
               id,
-              fields[0],
+              HostPort.parse(fields[0]),
               Long.parseLong(fields[1]),
               Boolean.parseBoolean(fields[2]),
               conduct,
               fields.length > SILENT_FIELD ? parseLeaseMillis(fields[SILENT_FIELD]) : REPLIES));
-    } catch (NumberFormatException e) {
+    } catch (NumberFormatException | InvalidValueException e) {
       return Optional.empty();
     }
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -46,6 +46,7 @@
   private final Restraint restraint = new Restraint();
   private final LeaseHold leaseHold = new LeaseHold();
   private boolean inClosedDataCentre;
+  private boolean serviceConfigured;
   private long inheritedStartMillis;
   private long announcedEndMillis = Long.MAX_VALUE;
 
@@ -124,7 +125,7 @@
   }
 
   Target target() {
-    return new Target(id.value(), info.address());
+    return new Target(id.value(), info.address().toString());
   }
 
   Map<Attempt.Key, Attempt> attemptsByKey() {
@@ -138,6 +139,7 @@
   /** Returns whether the worker may get new work. */
   boolean isUsable(long nowMillis) {
     return listed
+        && serviceConfigured
         && !inClosedDataCentre
         && tokenSeen
         && !info.draining()
@@ -151,6 +153,19 @@
     inClosedDataCentre = closed;
   }
 
+  /** Sets whether the configuration names the service of the worker. */
+  void setServiceConfigured(boolean configured) {
+    serviceConfigured = configured;
+  }
+
+  /**
+   * Returns whether the planner calls the worker: it has runs, or it is listed for a service that
+   * the configuration names. Entries of other services may come from programs that are no workers.
+   */
+  boolean isPolled() {
+    return info != null && (!attemptsByKey.isEmpty() || (listed && serviceConfigured));
+  }
+
   /** Returns whether the data centre of the worker is closed for new work. */
   boolean isInClosedDataCentre() {
     return inClosedDataCentre;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Configuration.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Configuration.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** A complete configuration of the scheduler. Immutable and thread-safe. */
 public final class Configuration {
@@ -12,6 +14,7 @@
   private final Map<String, OrganisationAccess> organisationsByKey;
   private final Map<String, OrganisationAccess> organisations;
   private final Map<String, ServiceSpec> services;
+  private final Set<String> servicesOfQueues;
 
   /**
    * Creates a configuration.
@@ -28,6 +31,7 @@
       List<ServiceSpec> services) {
     this.version = version;
     Map<String, List<Queue>> byHost = new HashMap<>();
+    servicesOfQueues = queues.stream().map(Queue::service).collect(Collectors.toUnmodifiableSet());
     for (Queue queue : queues) {
       byHost.merge(queue.host(), List.of(queue), Configuration::concat);
     }
@@ -122,6 +126,16 @@
     return services;
   }
 
+  /**
+   * Returns whether the configuration names a service, in its list of services or in a queue.
+   *
+   * @param name name of the service
+   * @return whether workers of this service may get work
+   */
+  public boolean hasService(String name) {
+    return services.containsKey(name) || servicesOfQueues.contains(name);
+  }
+
   /** Returns the number of queues, for the dump. */
   public int queueCount() {
     return queuesByHost.values().stream().mapToInt(List::size).sum();
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
@@ -1,6 +1,7 @@
 package org.peridotroute.scheduler.model;
 
 import java.util.List;
+import org.peridotroute.lib.HostPort;
 import org.peridotroute.lib.WorkerId;
 
 /**
@@ -21,7 +22,7 @@
 public record WorkerInfo(
     WorkerId id,
     String service,
-    String address,
+    HostPort address,
     String dataCentre,
     String rack,
     List<String> labels,
@@ -56,6 +57,27 @@
         coldMillis);
   }
 
+  /**
+   * Returns a copy that belongs to another service.
+   *
+   * @param other the service
+   * @return the copy
+   */
+  public WorkerInfo withService(String other) {
+    return new WorkerInfo(
+        id,
+        other,
+        address,
+        dataCentre,
+        rack,
+        labels,
+        capacity,
+        draining,
+        remainingMillis,
+        startedAtMillis,
+        coldMillis);
+  }
+
   /**
    * Returns a copy that announces that the worker leaves.
    *
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -1,6 +1,7 @@
 package org.peridotroute.standin.world;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import org.peridotroute.lib.HostPort;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.dispatch.DispatchSettings;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
@@ -21,6 +23,7 @@
 import org.peridotroute.scheduler.model.PolicySettings;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.model.TaskId;
+import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.node.JobExplainer;
 import org.peridotroute.scheduler.node.RequestOutcome;
 import org.peridotroute.scheduler.node.SchedulerVm;
@@ -78,6 +81,7 @@
       new SimulationOracle(time, WORKER_CAPACITY, CANCEL_MILLIS, CLOSURE_MILLIS);
   private final Map<String, SimulatedVm> vms = new LinkedHashMap<>();
   private final Map<WorkerId, WorkerHost> workers = new LinkedHashMap<>();
+  private final Map<WorkerId, WorkerInfo> foreignEntries = new HashMap<>();
   private final SimulatedWorkerGateway workerGateway;
   private final SimulatedTasks tasks;
   private final Set<JobId> accepted = new HashSet<>();
@@ -128,7 +132,8 @@
       WorkerId id = new WorkerId("w-" + i);
       int rack = i / WORKERS_PER_RACK;
       String dataCentre = "dc-" + rack % DATA_CENTRES;
-      addWorker(id, dataCentre, "rack-" + rack, "10.0.0." + i + ":1");
+      addWorker(
+          id, dataCentre, "rack-" + rack, HostPort.parse("10.0." + i / 250 + "." + i % 250 + ":1"));
       setListed(id, true);
     }
     for (int i = 0; i < vmCount; i++) {
@@ -155,10 +160,14 @@
     return new SchedulerVm(
         SimulatedVm.settings(name, "life" + incarnationCount++, dispatchSettings),
         ports,
-        new SimulatedRecords(id -> workers.get(id).info));
+        new SimulatedRecords(this::description));
   }
 
-  private void addWorker(WorkerId id, String dataCentre, String rack, String address) {
+  private WorkerInfo description(WorkerId id) {
+    return workers.containsKey(id) ? workers.get(id).info : foreignEntries.get(id);
+  }
+
+  private void addWorker(WorkerId id, String dataCentre, String rack, HostPort address) {
     workers.put(id, new WorkerHost(SimulatedRecords.worker(id, address, dataCentre, rack)));
     restartWorker(id);
   }
@@ -314,6 +323,13 @@
     host.incarnation.setFault(fault);
   }
 
+  /** Lists a program that is no worker, for a service that the configuration does not name. */
+  public void listForeign(WorkerId id, HostPort address) {
+    foreignEntries.put(
+        id, SimulatedRecords.worker(id, address, "dc-0", "rack-0").withService("relay"));
+    setListed(id, true);
+  }
+
   /** Adds a worker to the list of workers, or removes it. */
   public void setListed(WorkerId id, boolean listed) {
     append(Topic.WORKERS, id.value(), listed ? new byte[] {1} : null);
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedRecords.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedRecords.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.IntStream;
+import org.peridotroute.lib.HostPort;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.JobId;
@@ -52,7 +53,7 @@
   }
 
   /** Returns the description of a worker that has just started. */
-  static WorkerInfo worker(WorkerId id, String address, String dataCentre, String rack) {
+  static WorkerInfo worker(WorkerId id, HostPort address, String dataCentre, String rack) {
     return new WorkerInfo(
         id,
         SimulatedCluster.SERVICE,
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
@@ -87,6 +87,10 @@
 
     private <T> CompletableFuture<T> call(
         Target target, long timeoutMillis, T unknown, Supplier<CompletableFuture<T>> request) {
+      if (host(target) == null) {
+        oracle.onForeignCall(target.id());
+        return CompletableFuture.completedFuture(unknown);
+      }
       if (host(target).isReachableFrom(vm)) {
         return request.get();
       }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
@@ -135,6 +135,11 @@
     }
   }
 
+  /** Records a call to a program that is listed, but is no worker of a configured service. */
+  void onForeignCall(String id) {
+    report(id + " is called although no configuration names its service");
+  }
+
   /** Records that the data centre of a worker was closed for new work, or opened again. */
   public void onClosed(String worker, boolean closed) {
     if (closed) {
--- a/org.peridotroute.test/tst/org/peridotroute/adapter/StoreRecordDecoderTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/adapter/StoreRecordDecoderTest.java
@@ -76,6 +76,36 @@
     assertThat(DECODER.decodeConfiguration(bytes(json))).isEmpty();
   }
 
+  // A planner ended whenever it started, since it called an address that no URL can hold.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "127.0.0.1:9001,127.0.0.1:9002",
+        "-",
+        "",
+        "/run/relay.sock",
+        "relay_3:25",
+        "relay.example:25",
+        "127.0.0.1",
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "127.0.0.1:99999",
+        "127.0.0.1:-1",
+        "256.0.0.1:80",
+        "10.0.0.1:80/path",
+        "user@10.0.0.1:80"
+      })
+  void returnsEmptyForAddressThatCannotBeCalled(String address) {
+    assertThat(
+            DECODER.decodeWorker(
+                "i-1",
+                bytes(
+                    "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"state\":\"ready\","
+                            .formatted(address)
+                        + "\"labels\":[\"a\",\"r\"],\"capacity\":{}}")))
+        .isEmpty();
+  }
+
   @Test
   void returnsEmptyForInvalidWorkerId() {
     assertThat(
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/dispatch/StopLimiterTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/dispatch/StopLimiterTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.peridotroute.lib.HostPort;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.WorkerInfo;
@@ -27,7 +28,7 @@
         new WorkerInfo(
             worker.id(),
             "s",
-            "10.0.0." + number + ":1",
+            HostPort.parse("10.0.0." + number + ":1"),
             "dc",
             "rack",
             List.of(),
--- a/org.peridotroute/src/org/peridotroute/errors/InvalidValueException.java
+++ b/org.peridotroute/src/org/peridotroute/errors/InvalidValueException.java
@@ -22,6 +22,16 @@
     return new InvalidValueException(Messages.INVALID_NAME.formatted(what, value));
   }
 
+  /**
+   * Creates the exception for a malformed network address.
+   *
+   * @param value the rejected address
+   * @return the exception
+   */
+  public static InvalidValueException address(String value) {
+    return new InvalidValueException(Messages.INVALID_ADDRESS.formatted(value));
+  }
+
   /**
    * Creates the exception for a number outside its range.
    *
--- a/org.peridotroute/src/org/peridotroute/errors/Messages.java
+++ b/org.peridotroute/src/org/peridotroute/errors/Messages.java
@@ -7,6 +7,7 @@
   static final String OUT_OF_RANGE = "%s is %d; allowed is %d to %d";
   static final String MISSING = "%s is missing";
   static final String TOO_LONG = "%s has %d bytes; allowed are %d";
+  static final String INVALID_ADDRESS = "address \"%s\" is not valid: use IPv4:PORT";
   static final String UNPRINTABLE = "%s contains a control character";
 
   static final String UNKNOWN_VERSION =
