Keep the runs of a leaving worker that refuses connections

Cause: a refused connection to a worker that leaves counted as its end, once the announced time had passed or its entry was gone. A worker that is cut off refuses connections and disappears from the list too.

Change: only a report of the worker, a reply of another incarnation or the end of all leases ends a run. So that tasks of workers that did leave need not wait for long, the lease of a worker that leaves ends half a lease after its announced end, and is not extended while the log is silent for three renewals; a successor waits for one lease instead of two (GrantsEnd).

Two tests of InheritedRunTest demanded that tasks start before the lease of the worker is over, which is the fault itself. They now allow one lease and the time for which a job may stand still; before GrantsEnd one of them failed with that bound too.

Why it works: the worker itself ends every run when its lease is over, whatever the network does.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/DispatchSettings.java
@@ -94,6 +94,15 @@
    * Returns the time after sending a call by which the lease that it granted has certainly expired.
    */
   public long leaseExpiryMillis() {
+    return expiryMillis(leaseMillis);
+  }
+
+  /**
+   * Returns the time after sending a call by which a lease that it granted has certainly expired.
+   *
+   * @param leaseMillis length of the lease
+   */
+  static long expiryMillis(long leaseMillis) {
     return (long) (leaseMillis * MAX_CLOCK_SLOWDOWN) + LEASE_MARGIN_MILLIS;
   }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -312,7 +312,7 @@
     health.review(workerManager.workers());
     long now = time.steadyMillis();
     workerRecords.prune(id -> workerManager.find(id) != null, now);
-    if (!settled && now >= inheritance.grantsEndMillis()) {
+    if (!settled && now >= inheritance.grantsEnd().millis()) {
       settled = true;
       journal.store(term.settledRecord());
     }
@@ -530,8 +530,10 @@
   }
 
   @Override
-  public boolean mayExtendLeases() {
-    return journal.unconfirmedMillis() <= settings.maxUnconfirmedMillis();
+  public boolean mayExtendLeases(boolean leaving) {
+    // Once the worker has left, a successor waits for the end of its leases.
+    long maxMillis = leaving ? settings.maxProofAgeMillis() : settings.maxUnconfirmedMillis();
+    return journal.unconfirmedMillis() <= maxMillis;
   }
 
   @Override
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Inheritance.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Inheritance.java
@@ -8,10 +8,10 @@
  *
  * @param workers what is stored of workers with assigned runs
  * @param claimedMillis steady time at which the claim of the term was sent
- * @param grantsEndMillis steady time from which no earlier planner extends leases
+ * @param grantsEnd when earlier planners stop extending leases
  */
 public record Inheritance(
-    List<StoredWorkerRecord> workers, long claimedMillis, long grantsEndMillis) {
+    List<StoredWorkerRecord> workers, long claimedMillis, GrantsEnd grantsEnd) {
   /** Copies the list. */
   public Inheritance {
     workers = List.copyOf(workers);
@@ -19,7 +19,7 @@
 
   /** Returns the inheritance of a planner that has no predecessor. */
   public static Inheritance none(long nowMillis) {
-    return new Inheritance(List.of(), nowMillis, nowMillis);
+    return new Inheritance(List.of(), nowMillis, new GrantsEnd(nowMillis, nowMillis));
   }
 
   Collection<WorkerRecord> records() {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -27,8 +27,9 @@
 /**
  * Polls workers and determines what became of each run. A run has ended only when the worker
  * reports its end, when a poll sent after its last start or stop call was settled does not list it,
- * when the incarnation of the worker is gone, or when all leases granted to the worker have
- * expired.
+ * when another incarnation has replied, or when all leases granted to the worker have expired.
+ * Neither a refused connection nor the removal of a worker from the list ends a run: the worker may
+ * be cut off and run on.
  */
 final class WorkerManager {
   /** Delay before a failed call is retried. */
@@ -55,8 +56,12 @@
     /** Runs an action once the ends reported so far are on the log. */
     void afterStored(Runnable action);
 
-    /** Returns whether the log has confirmed the term recently, so that leases may be extended. */
-    boolean mayExtendLeases();
+    /**
+     * Returns whether the log has confirmed the term recently, so that leases may be extended.
+     *
+     * @param leaving whether the worker leaves
+     */
+    boolean mayExtendLeases(boolean leaving);
 
     /** Returns whether the term and the list of workers are known recently enough to start runs. */
     boolean mayStart();
@@ -108,9 +113,10 @@
     this.listener = listener;
     silences = new WorkerSilences(listener);
     runCalls = new RunCalls(this, gateway, settings, term, control, time, events, listener);
-    inheritedLeasesExpireMillis = inheritance.grantsEndMillis() + settings.leaseExpiryMillis();
+    inheritedLeasesExpireMillis = inheritance.grantsEnd().millis() + settings.leaseExpiryMillis();
     for (StoredWorkerRecord stored : inheritance.workers()) {
-      getOrCreate(stored.record().id()).inherit(stored);
+      WorkerState worker = getOrCreate(stored.record().id());
+      worker.inherit(stored, inheritance.grantsEnd(), settings.leaseExpiryMillis());
     }
   }
 
@@ -344,10 +350,11 @@
             && worker.unansweredCalls() == 0
             && worker.leaseHold().mayExtend()
             && !worker.attempts().isEmpty()
-            && listener.mayExtendLeases();
-    long leaseEnd = extend ? workerClock + settings.leaseMillis() : -1;
+            && listener.mayExtendLeases(worker.info().draining());
+    long leaseMillis = worker.leaseMillis(settings.leaseMillis(), now);
+    long leaseEnd = extend ? workerClock + leaseMillis : -1;
     if (extend) {
-      worker.onLeaseGranted(now + settings.leaseExpiryMillis());
+      worker.onLeaseGranted(now + DispatchSettings.expiryMillis(leaseMillis));
     }
     long acknowledged = worker.endToAcknowledge();
     CompletableFuture<PollReply> future =
@@ -369,12 +376,6 @@
       case DONE -> onPollSuccess(worker, reply, sequence);
       case FENCED -> listener.onFenced(worker.id());
       case OTHER_LIFE -> onWorkerGone(worker, "another incarnation replied at its address");
-      case NOT_SENT -> {
-        onNoReply(worker, reply.outcome());
-        if (worker.hasLeftIfUnreachable(time.steadyMillis())) {
-          onWorkerGone(worker, "it has announced its end and refuses connections");
-        }
-      }
       default -> onNoReply(worker, reply.outcome());
     }
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -27,6 +27,9 @@
   /** Time between polls while ends that a worker reported are not on the log yet. */
   private static final long UNSTORED_POLL_MILLIS = 1_000;
 
+  /** Fraction of a full lease that is granted to a worker past its announced end. */
+  private static final long LEAVING_LEASE_DIVISOR = 2;
+
   private final WorkerId id;
   private final Map<Attempt.Key, Attempt> attemptsByKey = new LinkedHashMap<>();
   private WorkerInfo info;
@@ -72,9 +75,18 @@
             : Long.MAX_VALUE;
   }
 
-  /** Adopts what an earlier planner knew of the worker, until the worker is listed. */
-  void inherit(StoredWorkerRecord stored) {
+  /**
+   * Adopts what an earlier planner knew of the worker, until the worker is listed.
+   *
+   * @param grantsEnd when earlier planners stop extending leases
+   * @param expiryMillis time after which a lease granted at the latest then has expired
+   */
+  void inherit(StoredWorkerRecord stored, GrantsEnd grantsEnd, long expiryMillis) {
     WorkerRecord record = stored.record();
+    if (record.draining()) {
+      long lastGrantMillis = Math.max(stored.readMillis(), grantsEnd.leavingMillis());
+      leasesExpireMillis = Math.min(leasesExpireMillis, lastGrantMillis + expiryMillis);
+    }
     if (record.isSilent()) {
       leaseHold.hold(record.silentLeaseMillis());
       leasesExpireMillis =
@@ -100,11 +112,17 @@
   }
 
   /**
-   * Returns whether a refused connection shows that the worker has left: it has announced that it
-   * leaves, and it is no longer listed or the announced time has passed.
+   * Returns the length of the lease to grant now. That of a worker which leaves ends soon after its
+   * announced end, because its tasks can start elsewhere only after the lease.
+   *
+   * @param maxMillis length of the lease of other workers
    */
-  boolean hasLeftIfUnreachable(long nowMillis) {
-    return info.draining() && (!listed || nowMillis >= announcedEndMillis);
+  long leaseMillis(long maxMillis, long nowMillis) {
+    if (!info.draining()) {
+      return maxMillis;
+    }
+    long stayMillis = Math.max(0, announcedEndMillis - nowMillis);
+    return Math.min(maxMillis, stayMillis + maxMillis / LEAVING_LEASE_DIVISOR);
   }
 
   /** Returns the steady time until which the worker stays at least; far off unless it leaves. */
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Election.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/Election.java
@@ -1,5 +1,6 @@
 package org.peridotroute.scheduler.node;
 
+import org.peridotroute.scheduler.dispatch.GrantsEnd;
 import org.peridotroute.scheduler.dispatch.Term;
 
 /**
@@ -7,6 +8,6 @@
  *
  * @param term the term
  * @param claimedMillis steady time at which the claim was sent
- * @param grantsEndMillis steady time from which no planner of an earlier term extends leases
+ * @param grantsEnd when earlier planners stop extending leases
  */
-record Election(Term term, long claimedMillis, long grantsEndMillis) {}
+record Election(Term term, long claimedMillis, GrantsEnd grantsEnd) {}
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/PlannerRole.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/PlannerRole.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import org.peridotroute.scheduler.dispatch.DispatchSettings;
+import org.peridotroute.scheduler.dispatch.GrantsEnd;
 import org.peridotroute.scheduler.dispatch.Term;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.KeyedLog;
@@ -153,7 +155,10 @@
   private void claim(long endOffset, Consumer<Election> onElected) {
     claiming = true;
     long now = time.steadyMillis();
-    long grantsEndMillis = grantsEndMillis(now);
+    GrantsEnd grantsEnd =
+        new GrantsEnd(
+            grantsEndMillis(now, settings.dispatch().maxUnconfirmedMillis()),
+            leavingGrantsEndMillis(now));
     Term term =
         new Term(
             endOffset,
@@ -175,7 +180,7 @@
             endOffset,
             new KeyedLog.Fence(Term.ROLE, term.epoch(), term.sequence())),
         control,
-        reply -> onClaimReply(new Election(term, now, grantsEndMillis), reply, onElected));
+        reply -> onClaimReply(new Election(term, now, grantsEnd), reply, onElected));
   }
 
   /**
@@ -183,16 +188,28 @@
    * extends them only for a limited time after it has sent the last append that the log has
    * confirmed, and all its appends have been read here before a claim.
    */
-  private long grantsEndMillis(long nowMillis) {
+  private long grantsEndMillis(long nowMillis, long maxUnconfirmedMillis) {
     if (lastClaim == null) {
       return nowMillis;
     }
-    long maxUnconfirmedMillis = settings.dispatch().maxUnconfirmedMillis();
     if (!hasEnded(lastClaim)) {
       return lastHeartbeatMillis + maxUnconfirmedMillis;
     }
-    boolean settled = lastClaim.term().epoch() == settledEpoch;
-    return settled ? nowMillis : lastClaimSeenMillis + maxUnconfirmedMillis;
+    return isSettled() ? nowMillis : lastClaimSeenMillis + maxUnconfirmedMillis;
+  }
+
+  /**
+   * As {@link #grantsEndMillis}, for a worker that leaves. The last planner knows from its record
+   * that it leaves; those before may not have known, unless they have stopped already.
+   */
+  private long leavingGrantsEndMillis(long nowMillis) {
+    DispatchSettings dispatch = settings.dispatch();
+    return grantsEndMillis(
+        nowMillis, isSettled() ? dispatch.maxProofAgeMillis() : dispatch.maxUnconfirmedMillis());
+  }
+
+  private boolean isSettled() {
+    return lastClaim != null && lastClaim.term().epoch() == settledEpoch;
   }
 
   /**
@@ -236,7 +253,7 @@
     if (reply.outcome() == AppendOutcome.APPENDED && own) {
       lastClaim = new Term.Claim(term, false);
       Term next = new Term(term.epoch(), term.holder(), term.incarnation(), term.sequence() + 1);
-      onElected.accept(new Election(next, election.claimedMillis(), election.grantsEndMillis()));
+      onElected.accept(new Election(next, election.claimedMillis(), election.grantsEnd()));
       return;
     }
     events.info("planner-claim-failed", "epoch", term.epoch(), "outcome", reply.outcome());
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -425,7 +425,7 @@
             settings.dispatch(),
             ports,
             new Inheritance(
-                storedWorkers.records(), election.claimedMillis(), election.grantsEndMillis()),
+                storedWorkers.records(), election.claimedMillis(), election.grantsEnd()),
             new DispatcherListener(term));
     events.info(
         "planner-started",
@@ -434,7 +434,7 @@
         "jobs",
         entries.size(),
         "grantsEndInMillis",
-        Math.max(0, election.grantsEndMillis() - time.steadyMillis()));
+        Math.max(0, election.grantsEnd().millis() - time.steadyMillis()));
     dispatcher.configure(configuration());
     dispatcher.setClosures(operatorRecords.closures(configurations.currentAsOfMillis()));
     for (JobEntry entry : entries.values()) {
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -304,9 +304,8 @@
    * @param unlistMillis time from the announcement until the worker is no longer listed
    */
   public void leave(WorkerId id, long noticeMillis, long unlistMillis) {
+    announceLeave(id, noticeMillis);
     WorkerHost host = workers.get(id);
-    host.info = host.info.asDraining(noticeMillis);
-    setListed(id, true);
     time.after(
         noticeMillis,
         () -> {
@@ -316,6 +315,22 @@
     time.after(unlistMillis, () -> setListed(id, false));
   }
 
+  /**
+   * Lets a worker announce that it leaves. It works on until it is told otherwise.
+   *
+   * @param noticeMillis least time for which it stays
+   */
+  public void announceLeave(WorkerId id, long noticeMillis) {
+    WorkerHost host = workers.get(id);
+    host.info = host.info.asDraining(noticeMillis);
+    setListed(id, true);
+  }
+
+  /** Lets connections to a worker be refused, or accepted again. Its tasks go on running. */
+  public void refuse(WorkerId id, boolean refusing) {
+    workers.get(id).refusing = refusing;
+  }
+
   /** Sets the fault of a worker, which restarts do not mend. */
   public void setFault(WorkerId id, WorkerFault fault) {
     WorkerHost host = workers.get(id);
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerHost.java
@@ -20,6 +20,13 @@
   /** Whether its process has exited, so that connections are refused. */
   boolean gone;
 
+  /** Whether connections to it are refused although it works on. */
+  boolean refusing;
+
+  boolean refusesConnections() {
+    return refusing || (gone && !disconnected);
+  }
+
   boolean isReachableFrom(String vm) {
     return reachableFrom == null || reachableFrom.equals(vm);
   }
