Stop runs because of what is stored, not of an event

Its worker was cut off when the cancel arrived, and the planner was restarted before the worker was back.

Cause: a stop was requested once, for the runs known at that moment, in the memory of the planner. Its successor took the run of the cancelled job over as current, and a cancel of a job that has ended does nothing.

A broken gang and a job that was given up were stopped before as well.

Change: WantedRuns decides from the progress of a job whether a run should go on: at takeover, when a worker reports a run, and for all known runs twice a second. Two reviews in a row have to agree, as a run may have ended without its report being here yet.

Why it works: any planner that sees the run stops it, and repeats the call until the run is gone, whoever knew of the cancel before.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Attempt.java
@@ -54,6 +54,7 @@
   private final boolean startedHere;
   private State state;
   private boolean stopRequested;
+  private boolean unwanted;
   private long stopRequestedMillis;
   private StepId beneficiary;
   private boolean moved;
@@ -178,6 +179,16 @@
     }
   }
 
+  /** Returns whether the run should not go on, as of the last review. */
+  boolean isUnwanted() {
+    return unwanted;
+  }
+
+  /** Sets whether the run should not go on. */
+  void setUnwanted(boolean value) {
+    unwanted = value;
+  }
+
   /** Records for which step the run is stopped. */
   void markPreempted(StepId step) {
     beneficiary = step;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -64,6 +64,9 @@
    */
   private static final long MAX_WORKER_LIST_AGE_MILLIS = 3_000;
 
+  /** Time between two searches for runs that should not go on. */
+  private static final long STOP_REVIEW_MILLIS = 500;
+
   private final Term term;
   private final Inheritance inheritance;
   private final DispatchSettings settings;
@@ -94,6 +97,7 @@
   private boolean openJobsLeft;
   private long workersCurrentAsOfMillis = Long.MIN_VALUE;
   private long lastPassMillis;
+  private long lastStopReviewMillis;
   private long lastPassTookMillis;
   private boolean settled;
   private boolean closed;
@@ -222,7 +226,7 @@
     durationEstimator.onSubmitted(job.submission());
     for (Occurrence occurrence : job.openOccurrences()) {
       for (StepProgress step : occurrence.steps()) {
-        InheritedAttempts.add(step, workerManager, time.steadyMillis());
+        InheritedAttempts.add(job, step, workerManager, time.steadyMillis());
       }
     }
     passNeeded = true;
@@ -308,9 +312,13 @@
     if (closed) {
       return;
     }
+    long now = time.steadyMillis();
+    if (now - lastStopReviewMillis >= STOP_REVIEW_MILLIS) {
+      lastStopReviewMillis = now;
+      runStopper.stopUnwanted(jobs);
+    }
     workerManager.tick();
     health.review(workerManager.workers());
-    long now = time.steadyMillis();
     workerRecords.prune(id -> workerManager.find(id) != null, now);
     if (!settled && now >= inheritance.grantsEnd().millis()) {
       settled = true;
@@ -452,11 +460,7 @@
   @Override
   public Attempt adopt(WorkerId worker, Attempt.Key key) {
     Job job = jobs.get(key.task().job());
-    StepProgress step = job == null ? null : job.step(key.task()).orElse(null);
-    boolean current =
-        step != null
-            && !job.phase().isEnded()
-            && step.tasks().get(key.task().index()).isAssigned(key.run(), worker);
+    boolean current = WantedRuns.isWanted(job, key, worker);
     Capacity held = reservedCapacity(job, key.task().step());
     return new Attempt(key, held, Attempt.State.RUNNING, current, time.steadyMillis());
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunStopper.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/RunStopper.java
@@ -1,5 +1,7 @@
 package org.peridotroute.scheduler.dispatch;
 
+import java.util.Map;
+import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.StepId;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.plan.PlacementDecision;
@@ -72,6 +74,25 @@
         : null;
   }
 
+  /**
+   * Stops the runs that should not go on, whoever decided so and whenever. A stop that was
+   * requested when a run was not known, or by a planner that has ended since, is made up for here.
+   * A run is stopped if two reviews in a row find it, since one may have ended without its report
+   * being here.
+   */
+  void stopUnwanted(Map<JobId, Job> jobs) {
+    for (WorkerState workerState : workerManager.workers()) {
+      for (Attempt attempt : workerState.attempts()) {
+        Job job = jobs.get(attempt.key().task().job());
+        boolean wanted = WantedRuns.isWanted(job, attempt.key(), workerState.id());
+        if (!wanted && attempt.isUnwanted()) {
+          attempt.requestStop(time.steadyMillis());
+        }
+        attempt.setUnwanted(!wanted);
+      }
+    }
+  }
+
   /** Stops all runs of a job. */
   void stopRuns(Job job) {
     for (WorkerState workerState : workerManager.workers()) {
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
@@ -140,6 +140,14 @@
     report(id + " is called although no configuration names its service");
   }
 
+  /** Returns the number of runs of a job that go on. */
+  public int runningCount(JobId id) {
+    return running.entrySet().stream()
+        .filter(entry -> entry.getKey().job().equals(id))
+        .mapToInt(entry -> entry.getValue().size())
+        .sum();
+  }
+
   /** Records that the data centre of a worker was closed for new work, or opened again. */
   public void onClosed(String worker, boolean closed) {
     if (closed) {
