End absent runs only on the strength of complete lists

Cause: a worker lists 500 ends at a time, and the planner took a run that a poll did not name for lapsed, whatever the length of the list.

Only complete lists end runs. Ends are handled in the order of their numbers. Simulated workers list 500 ends too.

Why it works: the ends that were left out are listed by a later poll, once the first 500 are acknowledged; until then the runs count as running.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -26,10 +26,10 @@
 
 /**
  * Polls workers and determines what became of each run. A run has ended only when the worker
- * reports its end, when a poll sent after its last start or stop call was settled does not list it,
- * when another incarnation has replied, or when all leases granted to the worker have expired.
- * Neither a refused connection nor the removal of a worker from the list ends a run: the worker may
- * be cut off and run on.
+ * reports its end, when the complete lists of a poll sent after its last start or stop call was
+ * settled do not name it, when another incarnation has replied, or when all leases granted to the
+ * worker have expired. Neither a refused connection nor the removal of a worker from the list ends
+ * a run: the worker may be cut off and run on.
  */
 final class WorkerManager {
   /** Delay before a failed call is retried. */
@@ -431,12 +431,18 @@
       present.add(new Attempt.Key(task.task(), task.run()));
       onEndedTask(worker, task);
     }
+    if (reply.complete()) {
+      endAbsentAttempts(worker, present, sequence);
+    }
+    acknowledgeEndsOnceStored(worker, reply);
+  }
+
+  private void endAbsentAttempts(WorkerState worker, Set<Attempt.Key> present, long sequence) {
     for (Attempt attempt : List.copyOf(worker.attempts())) {
       if (!present.contains(attempt.key()) && attempt.isEndedIfAbsentFromPoll(sequence)) {
         endAttempt(worker, attempt, attempt.endIfLost(), "", "absent from a later poll");
       }
     }
-    acknowledgeEndsOnceStored(worker, reply);
   }
 
   /** Handles a restart of a worker under its former id. Its next poll shows which runs it lost. */
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/port/WorkerGateway.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/port/WorkerGateway.java
@@ -1,5 +1,6 @@
 package org.peridotroute.scheduler.port;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.peridotroute.scheduler.model.TaskId;
@@ -129,18 +130,31 @@
    * @param clockMillis the worker's clock
    * @param startedAtMillis start of the worker's incarnation on its wall clock
    * @param running the running tasks
-   * @param ended the ended runs that are not acknowledged
+   * @param ended the ended runs that are not acknowledged, by number
+   * @param complete whether the lists name every run that goes on or whose end is not acknowledged;
+   *     only then is a run that they do not name over
    */
   record PollReply(
       CallOutcome outcome,
       long clockMillis,
       long startedAtMillis,
       List<RunningTask> running,
-      List<EndedTask> ended) {
-    /** Copies the lists. */
+      List<EndedTask> ended,
+      boolean complete) {
+    /** Copies the lists and orders the ends. */
     public PollReply {
       running = List.copyOf(running);
-      ended = List.copyOf(ended);
+      ended = ended.stream().sorted(Comparator.comparingLong(EndedTask::number)).toList();
+    }
+
+    /**
+     * Returns the reply that represents a poll without lists.
+     *
+     * @param outcome how the call ended
+     * @param clockMillis the worker's clock, -1 if it is not known
+     */
+    public static PollReply failed(CallOutcome outcome, long clockMillis) {
+      return new PollReply(outcome, clockMillis, 0, List.of(), List.of(), false);
     }
   }
 
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
@@ -1,6 +1,5 @@
 package org.peridotroute.standin.world;
 
-import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -128,7 +127,7 @@
   }
 
   private static PollReply failedPoll(CallOutcome outcome) {
-    return new PollReply(outcome, -1, 0, List.of(), List.of());
+    return PollReply.failed(outcome, -1);
   }
 
   private WorkerHost host(Target target) {
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
@@ -22,6 +22,9 @@
  * by one thread.
  */
 public final class WorkerModel {
+  /** Ends that a worker lists at once. */
+  private static final int MAX_LISTED_ENDS = 500;
+
   /** Receives the events of all workers. */
   public interface Observer {
     /** Called when a run of a task has started. */
@@ -311,7 +314,7 @@
   /** Returns the running and ended tasks, and extends the lease if the request asks for it. */
   public PollReply poll(PollRequest request) {
     if (request.token() < highestToken) {
-      return new PollReply(CallOutcome.FENCED, clockMillis(), startedMillis, List.of(), List.of());
+      return PollReply.failed(CallOutcome.FENCED, clockMillis());
     }
     highestToken = request.token();
     if (request.leaseEndMillis() >= 0) {
@@ -323,7 +326,14 @@
         .forEach(
             run ->
                 runningTasks.add(new RunningTask(run.task, run.run, "", progressPercent(run), 0)));
-    return new PollReply(CallOutcome.DONE, clockMillis(), startedMillis, runningTasks, ended);
+    boolean complete = ended.size() <= MAX_LISTED_ENDS;
+    return new PollReply(
+        CallOutcome.DONE,
+        clockMillis(),
+        startedMillis,
+        runningTasks,
+        complete ? ended : ended.subList(0, MAX_LISTED_ENDS),
+        complete);
   }
 
   /** Returns whether a task has ended whose end is not yet acknowledged. */
