Bound the nesting of JSON that is read

What callers would see: a VM that plans ends whenever it reads the list of workers, if one entry in it is nested some hundred levels deep.

Cause: JSON values are read recursively, and the parser allows 1,000 levels. The threads of an entry VM have stacks of 256 KB.

Change: the parser refuses more than 64 levels, as malformed JSON, for records of the store, replies of workers, requests of callers and settings.

Why it works: the depth of the recursion no longer depends on the input.

--- a/org.peridotroute/src/org/peridotroute/json/JsonValue.java
+++ b/org.peridotroute/src/org/peridotroute/json/JsonValue.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -16,13 +17,25 @@
  * absent value. Immutable and thread-safe.
  */
 public final class JsonValue implements Iterable<JsonValue> {
+  /**
+   * Deepest nesting that is read. Values are read recursively, so that the depth must fit on the
+   * stack of any thread.
+   */
+  private static final int MAX_DEPTH = 64;
+
+  private static final StreamReadConstraints CONSTRAINTS =
+      StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build();
+
   private static final JsonFactory FACTORY =
       JsonFactory.builder()
+          .streamReadConstraints(CONSTRAINTS)
           .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
           .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
           .build();
 
-  private static final JsonFactory STRICT_FACTORY = new JsonFactory();
+  private static final JsonFactory STRICT_FACTORY =
+      JsonFactory.builder().streamReadConstraints(CONSTRAINTS).build();
+
   private static final JsonValue ABSENT = new JsonValue(null);
 
   /** A map, a list, a string, a number, a boolean, or null for JSON null and for no value. */
@@ -37,7 +50,7 @@
    *
    * @param document the UTF-8 text
    * @return its root; absent if the text is empty
-   * @throws IOException if the text is not JSON
+   * @throws IOException if the text is not JSON, or nested too deeply
    */
   public static JsonValue parse(byte[] document) throws IOException {
     try (JsonParser parser = STRICT_FACTORY.createParser(document)) {
