Check the range of numbers in worker entries and replies

What callers would see: the planner calculates with numbers that another program wrote, or ends.

Cause: numbers were only checked for their type. A capacity or a time of 2^63 - 1 overflows in the next addition, 1e308 became 2^63 - 1 without a word, a number beyond 64 bits in a reply was cut to its last 64 or 32 bits ( counted as the end with number 1), and a negative index in the id of a task reached into the list of a job's tasks.

Change: WorkerInfo checks its ranges when it is made, so that an entry beyond them is left out.

Why it works: nothing behind the decoders holds a number out of range.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Capacity.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Capacity.java
@@ -11,6 +11,9 @@
   /** No resources. */
   public static final Capacity NONE = new Capacity(0, 0, 0);
 
+  /** Greatest amount of a resource that a worker can have or a task can need. */
+  public static final long MAX_AMOUNT = 1_000_000_000L;
+
   /** Price of one accelerator in cores, as in the users' price list. */
   public static final int CORES_PER_ACCELERATOR = 8;
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/StepSpec.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/StepSpec.java
@@ -47,7 +47,7 @@
   /** Maximum number of tasks of a step; limits the memory that one job takes on a VM. */
   public static final int MAX_TASKS = 2_000;
 
-  private static final long MAX_AMOUNT = 1_000_000_000L;
+  private static final long MAX_AMOUNT = Capacity.MAX_AMOUNT;
 
   /** Maximum length of a name in UTF-8 bytes, so that a job fits into one record of the log. */
   private static final int MAX_NAME_BYTES = 255;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/TaskId.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/TaskId.java
@@ -28,9 +28,13 @@
       return Optional.empty();
     }
     try {
-      StepId step =
-          new StepId(new JobId(parts[0]), Integer.parseInt(parts[1]), Integer.parseInt(parts[2]));
-      return Optional.of(new TaskId(step, Integer.parseInt(parts[3])));
+      int occurrence = Integer.parseInt(parts[1]);
+      int step = Integer.parseInt(parts[2]);
+      int index = Integer.parseInt(parts[3]);
+      if (occurrence < 0 || step < 0 || index < 0) {
+        return Optional.empty();
+      }
+      return Optional.of(new TaskId(new StepId(new JobId(parts[0]), occurrence, step), index));
     } catch (NumberFormatException e) {
       return Optional.empty();
     }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
@@ -1,6 +1,7 @@
 package org.peridotroute.scheduler.model;
 
 import java.util.List;
+import org.peridotroute.lib.Checks;
 import org.peridotroute.lib.HostPort;
 import org.peridotroute.lib.WorkerId;
 
@@ -31,8 +32,25 @@
     long remainingMillis,
     long startedAtMillis,
     long coldMillis) {
-  /** Makes an immutable copy of the labels. */
+  private static final long MAX_SPAN_MILLIS = 24 * 60 * 60 * 1_000L;
+  private static final int MAX_LABELS = 64;
+  private static final int MAX_NAME_BYTES = 255;
+
+  /**
+   * Validates the description, which a program outside of this project has written, and makes an
+   * immutable copy of the labels.
+   */
   public WorkerInfo {
+    Checks.printable("worker.service", service, MAX_NAME_BYTES);
+    Checks.printable("worker.dataCentre", dataCentre, MAX_NAME_BYTES);
+    Checks.range("worker.labels.length", labels.size(), 0, MAX_LABELS);
+    labels.forEach(label -> Checks.printable("worker.label", label, MAX_NAME_BYTES));
+    Checks.range("worker.capacity.milliCores", capacity.milliCores(), 0, Capacity.MAX_AMOUNT);
+    Checks.range("worker.capacity.memoryMb", capacity.memoryMb(), 0, Capacity.MAX_AMOUNT);
+    Checks.range("worker.capacity.accelerators", capacity.accelerators(), 0, Capacity.MAX_AMOUNT);
+    Checks.range("worker.remainingMillis", remainingMillis, 0, MAX_SPAN_MILLIS);
+    Checks.range("worker.coldMillis", coldMillis, 0, MAX_SPAN_MILLIS);
+    Checks.range("worker.startedAtMillis", startedAtMillis, 0, Long.MAX_VALUE);
     labels = List.copyOf(labels);
   }
 
--- a/org.peridotroute/src/org/peridotroute/json/JsonValue.java
+++ b/org.peridotroute/src/org/peridotroute/json/JsonValue.java
@@ -173,9 +173,16 @@
     return isText() ? (String) value : defaultValue;
   }
 
-  /** Returns the number as a long, or a default for a value of another type. */
+  /**
+   * Returns the number as a long without its fraction, or a default for a value of another type and
+   * for a number that is out of the range of a long.
+   */
   public long number(long defaultValue) {
-    return isNumber() ? ((Number) value).longValue() : defaultValue;
+    if (isLong()) {
+      return ((Number) value).longValue();
+    }
+    boolean inRange = isNumber() && Math.abs(decimal(0)) < Long.MAX_VALUE;
+    return inRange ? ((Number) value).longValue() : defaultValue;
   }
 
   /** Returns the number as a double, or a default for a value of another type. */
