Skip a record of others that cannot be handled

What callers would see: a VM ends whenever it reads one record of another program, and the jobs that it should place wait.

Cause: an exception in the handling of any record ended the process as a broken invariant, though other programs write the records of workers, configurations and requests.

Evidence: ForeignEntryTest.skipsARecordThatItFailsToHandle ends with the decoder's exception without this change.

Change: such a record is skipped and logged with topic, key, offset and cause, and the reader goes on with the next. The progress topic holds this project's own records only; a failure there is still thrown.

Why it works: the next process that reads the record skips it too.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/TopicFollower.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/TopicFollower.java
@@ -207,7 +207,7 @@
     for (KeyedRecord record : page.records()) {
       loadedKeys.add(record.key());
       lastLoadedKey = record.key();
-      listener.onRecord(record);
+      handle(record);
     }
     if (!page.hasMore()) {
       nextOffset = loadEndOffset;
@@ -245,7 +245,7 @@
     }
     for (KeyedRecord record : newRecords) {
       nextOffset = record.offset() + 1;
-      listener.onRecord(record);
+      handle(record);
     }
     if (nextOffset >= reply.endOffset()) {
       currentAsOfMillis = Math.max(currentAsOfMillis, sentMillis);
@@ -253,6 +253,31 @@
     listener.onRead(newRecords.isEmpty(), sentMillis, reply.endOffset());
   }
 
+  /**
+   * Passes a record to the listener. What other programs write must not end the process, or each
+   * next one would be ended by the same record. A failure in this project's own records shows a
+   * broken invariant and is thrown.
+   */
+  private void handle(KeyedRecord record) {
+    try {
+      listener.onRecord(record);
+    } catch (RuntimeException | StackOverflowError e) {
+      if (topic == Topic.PROGRESS) {
+        throw e;
+      }
+      events.warn(
+          "record-skipped",
+          "topic",
+          topic,
+          "key",
+          record.key(),
+          "offset",
+          record.offset(),
+          "cause",
+          e.toString());
+    }
+  }
+
   private void markUnavailable() {
     nextReadMillis = time.steadyMillis() + RETRY_DELAY_MILLIS;
     if (available) {
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -345,6 +345,11 @@
     setListed(id, true);
   }
 
+  /** Adds a record to the list of workers that the decoder fails to handle. */
+  public void listUnexpected() {
+    append(Topic.WORKERS, SimulatedRecords.UNEXPECTED, new byte[] {1});
+  }
+
   /** Adds a worker to the list of workers, or removes it. */
   public void setListed(WorkerId id, boolean listed) {
     append(Topic.WORKERS, id.value(), listed ? new byte[] {1} : null);
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedRecords.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedRecords.java
@@ -21,6 +21,10 @@
  */
 final class SimulatedRecords implements SchedulerVm.Decoder {
   private static final String CLOSURE_PREFIX = "closed/";
+
+  /** Key of a worker's record with which the decoder fails. */
+  static final String UNEXPECTED = "unexpected";
+
   private static final String ORGANISATION = "org";
   private static final int QUEUES = 3;
 
@@ -102,6 +106,9 @@
 
   @Override
   public Optional<WorkerInfo> decodeWorker(String id, byte[] value) {
+    if (id.equals(UNEXPECTED)) {
+      throw new IllegalStateException("no decoder expects this record");
+    }
     return Optional.of(workers.apply(new WorkerId(id)));
   }
 }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/ForeignEntryTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/ForeignEntryTest.java
@@ -42,6 +42,17 @@
     runJob(cluster);
   }
 
+  // An exception on the control thread ended the process, and each next one at the same record.
+  @Test
+  void skipsARecordThatItFailsToHandle() {
+    SimulatedCluster cluster = new SimulatedCluster(1, 2, 2, Events.NONE);
+    cluster.listUnexpected();
+    cluster.time().pass(4_000);
+    cluster.listUnexpected();
+    cluster.setListed(new WorkerId("w-0"), true);
+    runJob(cluster);
+  }
+
   // Workers at one address are asked which of them lives.
   @Test
   void leavesAProgramOfAnotherServiceAtTheAddressOfAWorkerAlone() {
