--- a/org.peridotroute.test/tst/org/peridotroute/adapter/HttpKeyedLogTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/adapter/HttpKeyedLogTest.java
@@ -72,6 +72,15 @@
     assertThat(append(200, "cut sho")).isEqualTo(AppendOutcome.UNKNOWN);
   }
 
+  // A key with a space at the end of a page kept the rest of the topic from being read.
+  @Test
+  void readsThePageAfterAnyKey() {
+    response.set(new Outgoing(200, Map.of(), "{\"items\":[],\"has_more\":false,\"end\":3}"));
+    for (String key : List.of("relay 1", "a&part=1", "\u00fcber", "50%", "a\"b", "line\nbreak")) {
+      assertThat(log.newest(Topic.WORKERS, key).join().available()).isTrue();
+    }
+  }
+
   @Test
   void encodesKeyedRecord() {
     append(200, "{\"offset\":4,\"end\":5}");
