Ask a worker for its ends before giving up its runs

What callers saw: done tasks ran again after a change of the planner.

Cause: a successor ends the runs of a worker at once if the log says that the worker was silent and its leases have expired since. That the runs are over is true, but they may have ended as done, and the worker, which was back, had those ends in its list. The successor had not asked it yet.

Ruled out: leases that are reckoned too short; the runs had ended by then.

InheritedRunTest.asksAWorkerForItsEndsAlthoughItsLeasesHaveExpired fails without this change.

Change: runs are given up for expired leases only after a poll of the worker has failed.

Why it works: a worker that can be reached tells its ends in its first reply.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -234,9 +234,12 @@
     }
   }
 
+  /**
+   * Ends the runs of a worker whose leases have expired. The runs are over then, but only the
+   * worker knows which of them are done, so it has been asked in vain before.
+   */
   private void expireLeases(WorkerState worker, long now) {
-    boolean unreachable =
-        worker.info() == null || worker.unansweredCalls() > 0 || !worker.hasSeenToken();
+    boolean unreachable = worker.info() == null || worker.unansweredCalls() > 0;
     if (unreachable && worker.haveLeasesExpired(now) && !worker.attempts().isEmpty()) {
       endSentAttempts(worker, "all its leases have expired");
     }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/InheritedRunTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/InheritedRunTest.java
@@ -108,6 +108,26 @@
     crashWhileNobodyPlans(6_000);
   }
 
+  // A successor gave up the runs of a worker whose leases had expired, without asking the worker,
+  // which was back and had their ends. Done tasks ran again.
+  @Test
+  void asksAWorkerForItsEndsAlthoughItsLeasesHaveExpired() {
+    SimulatedCluster cluster = new SimulatedCluster(1, 3, 2, Events.NONE);
+    cluster.time().pass(4_000);
+    cluster.submit(id(1), job(8, RUN_MILLIS), 1);
+    cluster.time().pass(1_000);
+    cluster.workerIds().forEach(worker -> cluster.cut(worker, true));
+    cluster.time().pass(LEASE_MILLIS);
+    String former = cluster.planner().orElseThrow();
+    cluster.kill(former, 60_000);
+    cluster.workerIds().forEach(worker -> cluster.cut(worker, false));
+    awaitPlannerOtherThan(cluster, former);
+    cluster.time().pass(MAX_STANDSTILL_MILLIS + RUN_MILLIS);
+    assertThat(cluster.oracle().violations()).isEmpty();
+    assertThat(cluster.unfinished()).isEmpty();
+    assertThat(cluster.oracle().starts()).isEqualTo(8);
+  }
+
   // A worker that has announced its end was awaited in the list for seconds after it had left.
   @Test
   void doesNotWaitForTheListOnceAWorkerHasLeftAsAnnounced() {
