--- a/org.peridotroute.bench/src/org/peridotroute/bench/EdgeProcess.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/EdgeProcess.java
@@ -1,4 +1,4 @@
-package org.peridotroute.bench.start;
+package org.peridotroute.bench;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -12,7 +12,7 @@
  * A process on an entry VM, started from the jar with the command of the deploy file. Used by one
  * thread.
  */
-final class EdgeProcess {
+public final class EdgeProcess {
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final Path home;
@@ -32,7 +32,8 @@
    * @param prefix words before the command, such as those that pin it to a core
    * @param jvmOptions options of the JVM besides those of the deploy file
    */
-  EdgeProcess(Path home, Path settings, Path output, List<String> prefix, List<String> jvmOptions) {
+  public EdgeProcess(
+      Path home, Path settings, Path output, List<String> prefix, List<String> jvmOptions) {
     this.home = home;
     this.settings = settings;
     this.output = output;
@@ -41,7 +42,7 @@
   }
 
   /** Starts the process as the deploy file says. */
-  void start() throws IOException {
+  public void start() throws IOException {
     List<String> command = new ArrayList<>(prefix);
     List<String> deployed = deployedCommand();
     command.add(deployed.get(0));
@@ -67,23 +68,33 @@
   }
 
   /** Kills the process and waits until it has ended. */
-  void kill() throws InterruptedException {
+  public void kill() throws InterruptedException {
     process.destroyForcibly().waitFor();
   }
 
   /** Stops the process with SIGTERM and waits until it has ended. */
-  void stop() throws InterruptedException {
+  public void stop() throws InterruptedException {
     process.destroy();
     process.waitFor();
   }
 
+  /** Returns the process id. */
+  public long pid() {
+    return process.pid();
+  }
+
+  /** Returns whether the process is running. */
+  public boolean isAlive() {
+    return process != null && process.isAlive();
+  }
+
   /** Returns the time since the start in milliseconds. */
-  long ageMillis() {
+  public long ageMillis() {
     return (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
   }
 
   /** Returns the processor time that all threads have used, in milliseconds. */
-  double cpuMillis() throws IOException {
+  public double cpuMillis() throws IOException {
     long nanos = 0;
     try (Stream<Path> threads = Files.list(Path.of("/proc", "" + process.pid(), "task"))) {
       for (Path thread : threads.toList()) {
@@ -103,7 +114,7 @@
   }
 
   /** Returns the resident memory in megabytes. */
-  double residentMb() throws IOException {
+  public double residentMb() throws IOException {
     for (String line : Files.readAllLines(Path.of("/proc", "" + process.pid(), "status"))) {
       if (line.startsWith("VmHWM:")) {
         return Double.parseDouble(line.replaceAll("\\D", "")) / 1024;
--- /dev/null
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakCallers.java
@@ -0,0 +1,165 @@
+package org.peridotroute.bench.soak;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import org.peridotroute.scheduler.model.Capacity;
+import org.peridotroute.scheduler.model.JobId;
+import org.peridotroute.scheduler.model.JobRequest;
+import org.peridotroute.scheduler.model.Schedule;
+import org.peridotroute.scheduler.model.StepSpec;
+
+/**
+ * Callers that submit jobs at a steady rate over open connections, repeat each call at other VMs
+ * until it is acknowledged, and cancel some jobs.
+ */
+final class SoakCallers {
+  private static final Duration TIMEOUT = Duration.ofSeconds(3);
+  private static final long RETRY_MILLIS = 300;
+  private static final double CANCEL_SHARE = 0.1;
+  private static final double GANG_SHARE = 0.2;
+  private static final int OK = 200;
+  private static final int GONE = 410;
+
+  private final SoakVms vms;
+  private final SoakWorkers workers;
+  private final Random random;
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(1))
+          .build();
+  private final Map<JobId, Boolean> cancelledByJob = new ConcurrentHashMap<>();
+  private int jobCount;
+
+  SoakCallers(SoakVms vms, SoakWorkers workers, long seed) {
+    this.vms = vms;
+    this.workers = workers;
+    random = new Random(seed);
+  }
+
+  /** Submits jobs until the time is over. */
+  void run(long untilMillis, long intervalMillis) throws InterruptedException {
+    while (System.currentTimeMillis() < untilMillis) {
+      JobId id = new JobId("%016x".formatted(++jobCount));
+      JobRequest request = newRequest();
+      int queue = random.nextInt(3);
+      boolean cancels = random.nextDouble() < CANCEL_SHARE;
+      workers.onSubmitted(id, request);
+      Thread caller =
+          new Thread(() -> submit(id, request, "/q%d/".formatted(queue), cancels), "caller");
+      caller.setDaemon(true);
+      caller.start();
+      Thread.sleep(intervalMillis);
+    }
+  }
+
+  private JobRequest newRequest() {
+    boolean gang = random.nextDouble() < GANG_SHARE;
+    StepSpec step =
+        StepSpec.newBuilder()
+            .setCount(gang ? 2 + random.nextInt(4) : 1 + random.nextInt(10))
+            .setNeed(new Capacity(2_000, 4_000, random.nextInt(3)))
+            .setGang(gang)
+            .setEstimateMillis(500 + random.nextInt(9_000))
+            .build();
+    return new JobRequest("soak", List.of(step), Schedule.ONCE);
+  }
+
+  private void submit(JobId id, JobRequest request, String path, boolean cancels) {
+    try {
+      call("POST", path + id, body(request));
+      cancelledByJob.put(id, cancels);
+      if (cancels) {
+        Thread.sleep(1_000 + id.hashCode() % 1_000);
+        call("DELETE", path + id, "");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static String body(JobRequest request) {
+    StepSpec step = request.steps().get(0);
+    return "{\"spec\":\"soak\",\"steps\":[{\"count\":%d,\"cpu\":%d,\"mem_mb\":%d,\"gpu\":%d,"
+            .formatted(
+                step.count(),
+                step.need().milliCores(),
+                step.need().memoryMb(),
+                step.need().accelerators())
+        + "\"gang\":%s,\"estimate_ms\":%d}]}".formatted(step.gang(), step.estimateMillis());
+  }
+
+  /** Repeats a call at random VMs until it is acknowledged. */
+  private void call(String method, String path, String body) throws InterruptedException {
+    while (true) {
+      SoakVms.Vm vm = vms.vms().get(ThreadLocalRandom.current().nextInt(vms.vms().size()));
+      int status = send(vm, method, path, body).status();
+      if (status == OK || status == GONE) {
+        return;
+      }
+      Thread.sleep(RETRY_MILLIS);
+    }
+  }
+
+  /** A response; its status is 0 if there was none. */
+  private record Answer(int status, String body) {}
+
+  private Answer send(SoakVms.Vm vm, String method, String path, String body)
+      throws InterruptedException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + vm.callerPort() + path))
+            .timeout(TIMEOUT)
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    try {
+      HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+      return new Answer(response.statusCode(), response.body());
+    } catch (IOException e) {
+      return new Answer(0, "");
+    }
+  }
+
+  int jobCount() {
+    return jobCount;
+  }
+
+  /** Returns the jobs that are not shown as ended, or that still run after they were cancelled. */
+  List<String> unfinished() throws InterruptedException {
+    List<String> unfinished = new ArrayList<>();
+    for (Map.Entry<JobId, Boolean> job : cancelledByJob.entrySet()) {
+      String state = state(job.getKey());
+      boolean ended =
+          state.contains("completed") || (job.getValue() && state.contains("cancelled"));
+      if (!ended || workers.runningCount(job.getKey()) > 0) {
+        unfinished.add(
+            job.getKey()
+                + " is shown as "
+                + state
+                + ", runs: "
+                + workers.runningCount(job.getKey()));
+      }
+    }
+    return unfinished;
+  }
+
+  private String state(JobId id) throws InterruptedException {
+    Answer answer = new Answer(0, "");
+    for (SoakVms.Vm vm : vms.vms()) {
+      answer = send(vm, "GET", "/q0/" + id, "");
+      if (answer.status() == OK) {
+        return answer.body();
+      }
+    }
+    return "status " + answer.status();
+  }
+}
--- /dev/null
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakWorkers.java
@@ -0,0 +1,292 @@
+package org.peridotroute.bench.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import org.peridotroute.adapter.standin.ModelledWorkerStandIn;
+import org.peridotroute.adapter.standin.StoreStandIn;
+import org.peridotroute.scheduler.model.Capacity;
+import org.peridotroute.scheduler.model.JobId;
+import org.peridotroute.scheduler.model.JobRequest;
+import org.peridotroute.scheduler.model.StepSpec;
+import org.peridotroute.scheduler.model.TaskId;
+import org.peridotroute.scheduler.port.Time;
+import org.peridotroute.scheduler.port.Topic;
+import org.peridotroute.scheduler.port.WorkerGateway.RunEnd;
+import org.peridotroute.standin.world.SimulationOracle;
+import org.peridotroute.standin.world.WorkerFault;
+import org.peridotroute.standin.world.WorkerModel;
+
+/**
+ * The workers of a soak, their entries in the store, and the oracle that observes their runs.
+ * Thread-safe; started once and stopped once.
+ */
+final class SoakWorkers implements WorkerModel.Environment {
+  static final String SERVICE = "soak";
+  static final long MAX_LEASE_MILLIS = 6_000;
+  static final long STOP_MILLIS = 900;
+  static final long HEARTBEAT_MILLIS = 1_500;
+  static final Capacity CAPACITY = new Capacity(64_000, 131_072, 8);
+
+  private static final long CANCEL_MILLIS = 3_000;
+  private static final long STEP_MILLIS = 5;
+  private static final int WORKERS_PER_RACK = 8;
+  private static final double SLOW_CLOCK_RATE = 0.98;
+
+  /** Guards the models and the oracle. */
+  private final Object lock = new Object();
+
+  private final StoreStandIn store;
+  private final Random random;
+  private final SimulationOracle oracle =
+      new SimulationOracle(Time.SYSTEM, CAPACITY, CANCEL_MILLIS, CANCEL_MILLIS);
+  private final Map<JobId, JobRequest> requests = new ConcurrentHashMap<>();
+  private final List<Worker> workers = new ArrayList<>();
+  private final Thread stepper = new Thread(this::step, "soak-workers");
+  private volatile boolean stopping;
+  private int lives;
+
+  /** One worker, which a successor with another id may replace. */
+  final class Worker {
+    private final int number;
+    private final ModelledWorkerStandIn server;
+    private String id;
+    private boolean listed = true;
+    private boolean down;
+    private boolean draining;
+    private long announcedEndMillis;
+    private long nextHeartbeatMillis;
+
+    Worker(int number) {
+      this.number = number;
+      id = newId();
+      server = new ModelledWorkerStandIn(lock, this::newIncarnation);
+      server.start();
+    }
+
+    private String newId() {
+      return "w-%d-%d".formatted(number, ++lives);
+    }
+
+    private WorkerModel newIncarnation() {
+      double rate = random.nextBoolean() ? SLOW_CLOCK_RATE : 1;
+      return new WorkerModel(id, Time.SYSTEM, rate, SoakWorkers.this, oracle);
+    }
+
+    /** Loses all calls and responses, or stops doing so. */
+    void setCut(boolean value) {
+      server.setCut(value);
+    }
+
+    /** Lets connections be refused, or accepted again. The runs go on. */
+    void setRefusing(boolean value) {
+      if (!down) {
+        server.setRefusing(value);
+      }
+    }
+
+    /** Removes the entry of the worker, or lets it write its entry again. */
+    void setListed(boolean value) {
+      synchronized (lock) {
+        listed = value;
+        if (!value) {
+          store.remove(Topic.WORKERS, id);
+        }
+      }
+    }
+
+    /** Announces that the worker leaves; it stays until it is replaced. */
+    void announceLeave(long noticeMillis) {
+      synchronized (lock) {
+        draining = true;
+        announcedEndMillis = Time.SYSTEM.steadyMillis() + noticeMillis;
+        nextHeartbeatMillis = 0;
+      }
+    }
+
+    boolean isDraining() {
+      return draining;
+    }
+
+    /** Ends the process of the worker; its port refuses connections. */
+    void exit() {
+      synchronized (lock) {
+        down = true;
+        server.incarnation().terminate();
+      }
+      server.setRefusing(true);
+    }
+
+    /** Starts the process again, under its former id or a new one. */
+    void begin(boolean sameId) {
+      synchronized (lock) {
+        if (!sameId) {
+          store.remove(Topic.WORKERS, id);
+          id = newId();
+        }
+        draining = false;
+        listed = true;
+        down = false;
+        nextHeartbeatMillis = 0;
+        server.restart();
+      }
+      server.setRefusing(false);
+    }
+
+    private void heartbeatIfDue(long nowMillis) {
+      if (down || !listed || nowMillis < nextHeartbeatMillis) {
+        return;
+      }
+      nextHeartbeatMillis = nowMillis + HEARTBEAT_MILLIS;
+      store.put(Topic.WORKERS, id, entry(nowMillis));
+    }
+
+    private String entry(long nowMillis) {
+      String remaining =
+          draining
+              ? "\"remaining_ms\":%d,".formatted(Math.max(0, announcedEndMillis - nowMillis))
+              : "";
+      return "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"a\",\"state\":\"%s\",%s"
+              .formatted(SERVICE, server.address(), draining ? "draining" : "ready", remaining)
+          + "\"labels\":[\"a\",\"r-%d\"],\"capacity\":{\"cpu\":%d,\"mem_mb\":%d,\"gpu\":%d},"
+              .formatted(
+                  number / WORKERS_PER_RACK,
+                  CAPACITY.milliCores(),
+                  CAPACITY.memoryMb(),
+                  CAPACITY.accelerators())
+          + "\"born\":%d}".formatted(server.incarnation().startedMillis());
+    }
+  }
+
+  SoakWorkers(StoreStandIn store, int count, long seed) {
+    this.store = store;
+    random = new Random(seed);
+    for (int i = 0; i < count; i++) {
+      workers.add(new Worker(i));
+    }
+  }
+
+  void start() {
+    stepper.setDaemon(true);
+    stepper.start();
+  }
+
+  void stop() {
+    stopping = true;
+    workers.forEach(worker -> worker.server.stop());
+  }
+
+  List<Worker> workers() {
+    return workers;
+  }
+
+  private void step() {
+    while (!stopping) {
+      synchronized (lock) {
+        long now = Time.SYSTEM.steadyMillis();
+        for (Worker worker : workers) {
+          worker.server.incarnation().advance();
+          worker.heartbeatIfDue(now);
+        }
+      }
+      try {
+        Thread.sleep(STEP_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  /** Records a job before it is submitted. */
+  void onSubmitted(JobId id, JobRequest request) {
+    requests.put(id, request);
+    synchronized (lock) {
+      oracle.onSubmitted(id, request);
+    }
+  }
+
+  /** Returns the number of runs of a job that go on. */
+  int runningCount(JobId id) {
+    synchronized (lock) {
+      return oracle.runningCount(id);
+    }
+  }
+
+  int startCount() {
+    synchronized (lock) {
+      return oracle.starts();
+    }
+  }
+
+  Map<RunEnd, Integer> ends() {
+    synchronized (lock) {
+      return oracle.ends();
+    }
+  }
+
+  List<String> violations() {
+    synchronized (lock) {
+      return oracle.violations();
+    }
+  }
+
+  private StepSpec step(TaskId task) {
+    return requests.get(task.job()).steps().get(task.step().step());
+  }
+
+  @Override
+  public WorkerModel.Behaviour behaviour(TaskId task, int run) {
+    StepSpec step = step(task);
+    return new WorkerModel.Behaviour(
+        step.reserved(),
+        step.estimateMillis(),
+        false,
+        step.gang() ? step.count() : 0,
+        Long.MAX_VALUE,
+        step.checkpoints());
+  }
+
+  @Override
+  public boolean failsBy(WorkerFault fault) {
+    return false;
+  }
+
+  @Override
+  public int countRunningMembers(TaskId task, int run) {
+    int count = 0;
+    for (int i = 0; i < step(task).count(); i++) {
+      TaskId member = new TaskId(task.step(), i);
+      for (Worker worker : workers) {
+        count += worker.server.incarnation().runs(member, run) ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  @Override
+  public void onMemberEnded(TaskId task, int run, RunEnd end) {
+    for (int i = 0; i < step(task).count(); i++) {
+      for (Worker worker : workers) {
+        worker.server.incarnation().endMember(new TaskId(task.step(), i), run, end);
+      }
+    }
+  }
+
+  @Override
+  public void onCrash(WorkerModel worker) {
+    throw new IllegalStateException("no task of a soak crashes its worker");
+  }
+
+  @Override
+  public long maxLeaseMillis() {
+    return MAX_LEASE_MILLIS;
+  }
+
+  @Override
+  public long stopMillis() {
+    return STOP_MILLIS / 2;
+  }
+}
--- a/org.peridotroute.bench/src/org/peridotroute/bench/start/StartMain.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/start/StartMain.java
@@ -22,6 +22,7 @@
 import org.peridotroute.adapter.standin.StoreStandIn;
 import org.peridotroute.adapter.standin.WorkerCallsStandIn;
 import org.peridotroute.bench.Arguments;
+import org.peridotroute.bench.EdgeProcess;
 import org.peridotroute.bench.Figures;
 import org.peridotroute.scheduler.port.Topic;
 
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.TaskId;
+import org.peridotroute.scheduler.port.Time;
 import org.peridotroute.scheduler.port.WorkerGateway.CallOutcome;
 import org.peridotroute.scheduler.port.WorkerGateway.CallReply;
 import org.peridotroute.scheduler.port.WorkerGateway.EndedTask;
@@ -108,7 +109,7 @@
 
   private final String id;
   private final long startedMillis;
-  private final VirtualTime time;
+  private final Time time;
   private final Environment environment;
   private final Observer observer;
   private final double clockRate;
@@ -126,13 +127,13 @@
    * Starts an incarnation without tasks.
    *
    * @param id id of the worker
-   * @param time virtual time
+   * @param time clock of the world
    * @param clockRate rate of the worker's clock; 0.98 for a clock that is 2% slow
    * @param environment behaviour of the tasks
    * @param observer receives starts and ends
    */
   public WorkerModel(
-      String id, VirtualTime time, double clockRate, Environment environment, Observer observer) {
+      String id, Time time, double clockRate, Environment environment, Observer observer) {
     this.id = id;
     this.time = time;
     this.clockRate = clockRate;
