Count an end in the oracle unless the lease expired before its note

The trace: worker w-18-19 leaves and refuses connections from 04:24:58.3; its leases have expired at 04:25:03.17 and its runs are given up; at 04:25:03.27 it is back and lists them as done. The users' rule excepts just this: an end is taken note of when its acknowledgement reaches the worker, unless the worker's lease lapsed between the two. The oracle did not know the exception. It keeps all other checks; two runs at once are counted whatever the leases do.

--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
@@ -37,7 +37,11 @@
     /** Called when a worker crashes, before its runs end. */
     void onCrashed(WorkerModel worker);
 
-    /** Called when the scheduler has acknowledged that it has stored the end of a run. */
+    /**
+     * Called when the scheduler has acknowledged that it has stored the end of a run, unless the
+     * lease of the worker expired between the two: the scheduler may then have taken the run for
+     * lapsed.
+     */
     void onAcknowledged(WorkerModel worker, TaskId task, int run, RunEnd end);
   }
 
@@ -119,6 +123,7 @@
   private long highestToken;
   private long leaseEndMillis;
   private long endCount;
+  private long lastEndBeforeExpiry;
   private long advancedToMillis;
   private boolean terminated;
   private WorkerFault fault = WorkerFault.NONE;
@@ -304,10 +309,13 @@
     if (request.token() < highestToken) {
       return;
     }
+    noteExpiry();
     for (EndedTask end : List.copyOf(ended)) {
       if (end.number() <= request.acknowledgedEnd()) {
         ended.remove(end);
-        observer.onAcknowledged(this, end.task(), end.run(), end.end());
+        if (end.number() > lastEndBeforeExpiry) {
+          observer.onAcknowledged(this, end.task(), end.run(), end.end());
+        }
       }
     }
   }
@@ -347,7 +355,15 @@
     return (int) (100 * (totalMillis - run.remainingMillis) / totalMillis);
   }
 
+  /** Remembers which ends came before the last expiry of the lease. */
+  private void noteExpiry() {
+    if (clockMillis() > leaseEndMillis) {
+      lastEndBeforeExpiry = endCount;
+    }
+  }
+
   private void extendLease(long untilMillis) {
+    noteExpiry();
     long maxEndMillis = clockMillis() + environment.maxLeaseMillis();
     leaseEndMillis = Math.max(leaseEndMillis, Math.min(untilMillis, maxEndMillis));
   }
