Let the soak accept jobs that may be given up

The trace: the faults crashed three workers under runs of its task 0e.0.0.2 (04:32:59, 04:33:07, 04:33:10), none of them leaving, and a job is given up after three crashes under one task, since the task counts as the cause (design 0009). The soak counts the crashes under each task itself, and accepts a failed job only with three.

--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakCallers.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakCallers.java
@@ -138,20 +138,20 @@
     List<String> unfinished = new ArrayList<>();
     for (Map.Entry<JobId, Boolean> job : cancelledByJob.entrySet()) {
       String state = state(job.getKey());
-      boolean ended =
-          state.contains("completed") || (job.getValue() && state.contains("cancelled"));
-      if (!ended || workers.runningCount(job.getKey()) > 0) {
-        unfinished.add(
-            job.getKey()
-                + " is shown as "
-                + state
-                + ", runs: "
-                + workers.runningCount(job.getKey()));
+      int runs = workers.runningCount(job.getKey());
+      if (runs > 0 || !isEnded(job.getKey(), state, job.getValue())) {
+        unfinished.add(job.getKey() + " is shown as " + state + ", runs: " + runs);
       }
     }
     return unfinished;
   }
 
+  private boolean isEnded(JobId id, String state, boolean cancelled) {
+    return state.contains("completed")
+        || (cancelled && state.contains("cancelled"))
+        || (state.contains("failed") && workers.mayBeGivenUp(id));
+  }
+
   private String state(JobId id) throws InterruptedException {
     Answer answer = new Answer(0, "");
     for (SoakVms.Vm vm : vms.vms()) {
--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakWorkers.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakWorkers.java
@@ -1,6 +1,7 @@
 package org.peridotroute.bench.soak;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -31,6 +32,10 @@
   static final Capacity CAPACITY = new Capacity(64_000, 131_072, 8);
 
   private static final long CANCEL_MILLIS = 3_000;
+
+  /** Crashes of workers under runs of a task after which its job may be given up. */
+  private static final int CRASHES_TO_GIVE_UP = 3;
+
   private static final long STEP_MILLIS = 5;
   private static final int WORKERS_PER_RACK = 8;
   private static final double SLOW_CLOCK_RATE = 0.98;
@@ -44,6 +49,7 @@
       new SimulationOracle(Time.SYSTEM, CAPACITY, CANCEL_MILLIS, CANCEL_MILLIS);
   private final Map<JobId, JobRequest> requests = new ConcurrentHashMap<>();
   private final List<Worker> workers = new ArrayList<>();
+  private final Map<TaskId, Integer> crashes = new HashMap<>();
   private final Thread stepper = new Thread(this::step, "soak-workers");
   private volatile boolean stopping;
   private int lives;
@@ -114,6 +120,9 @@
     void exit() {
       synchronized (lock) {
         down = true;
+        if (!draining) {
+          server.incarnation().runningTasks().forEach(task -> crashes.merge(task, 1, Integer::sum));
+        }
         server.incarnation().terminate();
       }
       server.setRefusing(true);
@@ -215,6 +224,18 @@
     }
   }
 
+  /**
+   * Returns whether a job may be given up: workers have crashed under so many runs of one of its
+   * tasks that the task counts as the cause.
+   */
+  boolean mayBeGivenUp(JobId id) {
+    synchronized (lock) {
+      return crashes.entrySet().stream()
+          .anyMatch(
+              entry -> entry.getKey().job().equals(id) && entry.getValue() >= CRASHES_TO_GIVE_UP);
+    }
+  }
+
   int startCount() {
     synchronized (lock) {
       return oracle.starts();
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -27,7 +27,7 @@
   /** Time between polls while ends that a worker reported are not on the log yet. */
   private static final long UNSTORED_POLL_MILLIS = 1_000;
 
-  /** Fraction of a full lease that is granted to a worker past its announced end. */
+  /** Part of a full lease that a worker past its announced end gets, as a divisor. */
   private static final long LEAVING_LEASE_DIVISOR = 2;
 
   private final WorkerId id;
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/WorkerModel.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.port.Time;
@@ -172,6 +173,11 @@
     return used;
   }
 
+  /** Returns the tasks that are running. */
+  public Set<TaskId> runningTasks() {
+    return Set.copyOf(running.keySet());
+  }
+
   /** Returns whether the worker is running this run of the task. */
   public boolean runs(TaskId task, int run) {
     Run found = running.get(task);
