--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/port/WorkerGateway.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/port/WorkerGateway.java
@@ -1,6 +1,5 @@
 package org.peridotroute.scheduler.port;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.peridotroute.scheduler.model.TaskId;
@@ -141,10 +140,10 @@
       List<RunningTask> running,
       List<EndedTask> ended,
       boolean complete) {
-    /** Copies the lists and orders the ends. */
+    /** Copies the lists. */
     public PollReply {
       running = List.copyOf(running);
-      ended = ended.stream().sorted(Comparator.comparingLong(EndedTask::number)).toList();
+      ended = List.copyOf(ended);
     }
 
     /**
--- a/org.peridotroute/src/org/peridotroute/json/JsonValue.java
+++ b/org.peridotroute/src/org/peridotroute/json/JsonValue.java
@@ -36,7 +36,8 @@
   private static final JsonFactory STRICT_FACTORY =
       JsonFactory.builder().streamReadConstraints(CONSTRAINTS).build();
 
-  private static final JsonValue ABSENT = new JsonValue(null);
+  /** The absence of a value. */
+  public static final JsonValue ABSENT = new JsonValue(null);
 
   /** A map, a list, a string, a number, a boolean, or null for JSON null and for no value. */
   private final Object value;
