Match an address once and keep its text

HostPort matched the host a second time in its constructor and joined host and port again for each call of a worker. As a key of maps it also used the generated methods of records, whose first call costs milliseconds of a process's start (see WorkerId). Behaviour stays.

--- a/org.peridotroute/src/org/peridotroute/lib/HostPort.java
+++ b/org.peridotroute/src/org/peridotroute/lib/HostPort.java
@@ -6,35 +6,29 @@
 
 /**
  * IPv4 address and TCP port of a server. Host names are not accepted, since a lookup would block
- * the thread that makes a call.
- *
- * @param host address in dotted decimal form
- * @param port port from 1 to 65535
+ * the thread that makes a call. Immutable and thread-safe.
  */
-public record HostPort(String host, int port) {
-  private static final Pattern TEXT = Pattern.compile("((?:\\d{1,3}\\.){3}\\d{1,3}):(\\d{1,5})");
+public final class HostPort {
+  private static final Pattern TEXT =
+      Pattern.compile("(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3}):(\\d{1,5})");
 
-  private static final Pattern HOST =
-      Pattern.compile("(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})\\.(\\d{1,3})");
+  private static final int OCTETS = 4;
   private static final int MAX_OCTET = 255;
   private static final int MAX_PORT = 65_535;
 
-  /** Validates host and port. */
-  public HostPort {
-    Matcher octets = HOST.matcher(Checks.present("host", host));
-    if (!octets.matches()) {
-      throw InvalidValueException.address(host);
-    }
-    for (int i = 1; i <= octets.groupCount(); i++) {
-      Checks.range("host.octet", Integer.parseInt(octets.group(i)), 0, MAX_OCTET);
-    }
-    Checks.range("port", port, 1, MAX_PORT);
+  private final String text;
+  private final int port;
+
+  private HostPort(String host, int port) {
+    text = host + ":" + port;
+    this.port = port;
   }
 
   /**
    * Parses an address.
    *
-   * @param text the address as HOST:PORT
+   * @param text the address as HOST:PORT, with the host in dotted decimal form and a port from 1 to
+   *     65535
    * @return the address
    * @throws InvalidValueException if the text is not an address
    */
@@ -43,11 +37,31 @@
     if (!parts.matches()) {
       throw InvalidValueException.address(text);
     }
-    return new HostPort(parts.group(1), Integer.parseInt(parts.group(2)));
+    for (int i = 1; i <= OCTETS; i++) {
+      Checks.range("host.octet", Integer.parseInt(parts.group(i)), 0, MAX_OCTET);
+    }
+    int port = Checks.range("port", Integer.parseInt(parts.group(OCTETS + 1)), 1, MAX_PORT);
+    return new HostPort(text.substring(0, text.indexOf(':')), port);
+  }
+
+  /** Returns the port. */
+  public int port() {
+    return port;
+  }
+
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof HostPort other && text.equals(other.text);
+  }
+
+  @Override
+  public int hashCode() {
+    return text.hashCode();
   }
 
+  /** Returns the address as HOST:PORT. */
   @Override
   public String toString() {
-    return host + ":" + port;
+    return text;
   }
 }
