Share the range check of capacities, drop test-only code

StepSpec and WorkerInfo checked the three amounts of a capacity each by themselves; Capacity does it for both, with the same messages. WorkerInfo.withService was used by the simulation only, which now names the service when it makes the description. A wrapper around PollReply.failed goes. Behaviour stays.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Capacity.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Capacity.java
@@ -1,5 +1,7 @@
 package org.peridotroute.scheduler.model;
 
+import org.peridotroute.lib.Checks;
+
 /**
  * Resources of a worker, or the resources that a task needs.
  *
@@ -19,6 +21,18 @@
 
   private static final double MILLIS_PER_CORE = 1_000.0;
 
+  /**
+   * Checks that no amount is negative or greater than {@link #MAX_AMOUNT}.
+   *
+   * @param field name of the field that holds the capacity
+   * @throws org.peridotroute.errors.InvalidValueException if an amount is out of range
+   */
+  void checkRange(String field) {
+    Checks.range(field + ".milliCores", milliCores, 0, MAX_AMOUNT);
+    Checks.range(field + ".memoryMb", memoryMb, 0, MAX_AMOUNT);
+    Checks.range(field + ".accelerators", accelerators, 0, MAX_AMOUNT);
+  }
+
   /**
    * Adds a capacity.
    *
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/StepSpec.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/StepSpec.java
@@ -55,10 +55,7 @@
   /** Checks the ranges. */
   public StepSpec {
     Checks.range("step.count", count, 1, MAX_TASKS);
-    need = Checks.present("step.need", need);
-    Checks.range("step.need.milliCores", need.milliCores(), 0, MAX_AMOUNT);
-    Checks.range("step.need.memoryMb", need.memoryMb(), 0, MAX_AMOUNT);
-    Checks.range("step.need.accelerators", need.accelerators(), 0, MAX_AMOUNT);
+    Checks.present("step.need", need).checkRange("step.need");
     Checks.range("step.estimateMillis", estimateMillis, 0, MAX_AMOUNT);
     Checks.range("step.maxPerWorker", maxPerWorker, 0, (int) MAX_AMOUNT);
     checkName("step.requiredLabel", requiredLabel);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/WorkerInfo.java
@@ -45,9 +45,7 @@
     Checks.printable("worker.dataCentre", dataCentre, MAX_NAME_BYTES);
     Checks.range("worker.labels.length", labels.size(), 0, MAX_LABELS);
     labels.forEach(label -> Checks.printable("worker.label", label, MAX_NAME_BYTES));
-    Checks.range("worker.capacity.milliCores", capacity.milliCores(), 0, Capacity.MAX_AMOUNT);
-    Checks.range("worker.capacity.memoryMb", capacity.memoryMb(), 0, Capacity.MAX_AMOUNT);
-    Checks.range("worker.capacity.accelerators", capacity.accelerators(), 0, Capacity.MAX_AMOUNT);
+    capacity.checkRange("worker.capacity");
     Checks.range("worker.remainingMillis", remainingMillis, 0, MAX_SPAN_MILLIS);
     Checks.range("worker.coldMillis", coldMillis, 0, MAX_SPAN_MILLIS);
     Checks.range("worker.startedAtMillis", startedAtMillis, 0, Long.MAX_VALUE);
@@ -75,27 +73,6 @@
         coldMillis);
   }
 
-  /**
-   * Returns a copy that belongs to another service.
-   *
-   * @param other the service
-   * @return the copy
-   */
-  public WorkerInfo withService(String other) {
-    return new WorkerInfo(
-        id,
-        other,
-        address,
-        dataCentre,
-        rack,
-        labels,
-        capacity,
-        draining,
-        remainingMillis,
-        startedAtMillis,
-        coldMillis);
-  }
-
   /**
    * Returns a copy that announces that the worker leaves.
    *
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -168,7 +168,8 @@
   }
 
   private void addWorker(WorkerId id, String dataCentre, String rack, HostPort address) {
-    workers.put(id, new WorkerHost(SimulatedRecords.worker(id, address, dataCentre, rack)));
+    workers.put(
+        id, new WorkerHost(SimulatedRecords.worker(id, SERVICE, address, dataCentre, rack)));
     restartWorker(id);
   }
 
@@ -340,8 +341,7 @@
 
   /** Lists a program that is no worker, for a service that the configuration does not name. */
   public void listForeign(WorkerId id, HostPort address) {
-    foreignEntries.put(
-        id, SimulatedRecords.worker(id, address, "dc-0", "rack-0").withService("relay"));
+    foreignEntries.put(id, SimulatedRecords.worker(id, "relay", address, "dc-0", "rack-0"));
     setListed(id, true);
   }
 
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedRecords.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedRecords.java
@@ -57,10 +57,11 @@
   }
 
   /** Returns the description of a worker that has just started. */
-  static WorkerInfo worker(WorkerId id, HostPort address, String dataCentre, String rack) {
+  static WorkerInfo worker(
+      WorkerId id, String service, HostPort address, String dataCentre, String rack) {
     return new WorkerInfo(
         id,
-        SimulatedCluster.SERVICE,
+        service,
         address,
         dataCentre,
         rack,
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
@@ -121,15 +121,11 @@
       return call(
           target,
           request.waitMillis() + callTimeoutMillis,
-          failedPoll(CallOutcome.UNKNOWN),
+          PollReply.failed(CallOutcome.UNKNOWN, -1),
           () -> SimulatedWorkerGateway.this.poll(target, request));
     }
   }
 
-  private static PollReply failedPoll(CallOutcome outcome) {
-    return PollReply.failed(outcome, -1);
-  }
-
   private WorkerHost host(Target target) {
     return workers.get(new WorkerId(target.id()));
   }
@@ -201,7 +197,7 @@
 
   @Override
   public CompletableFuture<PollReply> poll(Target target, PollRequest request) {
-    PollReply unknown = failedPoll(CallOutcome.UNKNOWN);
+    PollReply unknown = PollReply.failed(CallOutcome.UNKNOWN, -1);
     CompletableFuture<PollReply> answer = new CompletableFuture<>();
     WorkerHost host = host(target);
     time.after(
@@ -229,11 +225,13 @@
       CompletableFuture<PollReply> answer,
       PollReply unknown) {
     if (host.refusesConnections()) {
-      answer.complete(failedPoll(CallOutcome.NOT_SENT));
+      answer.complete(PollReply.failed(CallOutcome.NOT_SENT, -1));
       return;
     }
     if (host.replaced && !host.disconnected) {
-      time.after(1 + random.nextInt(12), () -> answer.complete(failedPoll(CallOutcome.OTHER_LIFE)));
+      time.after(
+          1 + random.nextInt(12),
+          () -> answer.complete(PollReply.failed(CallOutcome.OTHER_LIFE, -1)));
       return;
     }
     worker.advance();
