--- a/org.peridotroute.test/tst/org/peridotroute/adapter/DeepNestingTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/adapter/DeepNestingTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.peridotroute.errors.InvalidValueException;
@@ -14,9 +13,6 @@
  * which ended the process whenever it read the record.
  */
 final class DeepNestingTest {
-  /** Stack of a thread of an entry VM, as the deploy file sets it. */
-  private static final long STACK_BYTES = 256 * 1024;
-
   private static final StoreRecordDecoder DECODER = new StoreRecordDecoder();
 
   private static void decodeEverything(byte[] value) {
@@ -32,23 +28,14 @@
 
   @ParameterizedTest
   @ValueSource(ints = {1, 32, 63, 64, 65, 500, 700, 999, 1_000, 1_001, 130_000})
-  void rejectsAnyDepthOfNesting(int depth) throws InterruptedException {
-    AtomicReference<Throwable> failure = new AtomicReference<>();
-    Thread thread =
-        new Thread(
-            null,
-            () -> {
-              decodeEverything(bytes("[".repeat(depth) + "]".repeat(depth)));
-              decodeEverything(bytes("{\"a\":".repeat(depth)));
-              decodeEverything(bytes("{\"a\":".repeat(depth) + "1" + "}".repeat(depth)));
-              decodeEverything(bytes("{\"a\":" + "[".repeat(depth) + "]".repeat(depth) + "}"));
-            },
-            "small-stack",
-            STACK_BYTES);
-    thread.setUncaughtExceptionHandler((unused, thrown) -> failure.set(thrown));
-    thread.start();
-    thread.join();
-    assertThat(failure.get()).isNull();
+  void rejectsAnyDepthOfNesting(int depth) {
+    SmallStack.run(
+        () -> {
+          decodeEverything(bytes("[".repeat(depth) + "]".repeat(depth)));
+          decodeEverything(bytes("{\"a\":".repeat(depth)));
+          decodeEverything(bytes("{\"a\":".repeat(depth) + "1" + "}".repeat(depth)));
+          decodeEverything(bytes("{\"a\":" + "[".repeat(depth) + "]".repeat(depth) + "}"));
+        });
   }
 
   private static byte[] bytes(String text) {
--- a/org.peridotroute.test/tst/org/peridotroute/adapter/OddRecordTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/adapter/OddRecordTest.java
@@ -2,12 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -27,11 +28,9 @@
  * ports out of range, any other type, any bytes.
  */
 final class OddRecordTest {
-  /** Stack of a thread of an entry VM, as the deploy file sets it. */
-  private static final long STACK_BYTES = 256 * 1024;
-
   private static final long MAX_AMOUNT = 1_000_000_000;
   private static final long MAX_SPAN_MILLIS = 86_400_000;
+  private static final long MAX_COUNT = 1L << 53;
   private static final StoreRecordDecoder DECODER = new StoreRecordDecoder();
 
   private static final List<String> ODD_VALUES =
@@ -57,22 +56,6 @@
           nested(900),
           nested(100_000));
 
-  /** Runs an action on a thread with the stack of an entry VM and rethrows what it throws. */
-  private static void onSmallStack(Runnable action) {
-    AtomicReference<Throwable> failure = new AtomicReference<>();
-    Thread thread = new Thread(null, action, "small-stack", STACK_BYTES);
-    thread.setUncaughtExceptionHandler((unused, thrown) -> failure.set(thrown));
-    thread.start();
-    try {
-      thread.join();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-    if (failure.get() != null) {
-      throw new AssertionError("thrown to the caller: " + failure.get(), failure.get());
-    }
-  }
-
   private static String nested(int depth) {
     return "[".repeat(depth) + "]".repeat(depth);
   }
@@ -119,20 +102,13 @@
   }
 
   private static void expectUsable(WorkerInfo worker) {
-    assertThat(worker.address().port()).isIn(com.google.common.collect.Range.closed(1, 65_535));
-    assertThat(worker.remainingMillis()).isAtLeast(0L);
-    assertThat(worker.remainingMillis()).isAtMost(MAX_SPAN_MILLIS);
-    assertThat(worker.coldMillis()).isAtLeast(0L);
-    assertThat(worker.coldMillis()).isAtMost(MAX_SPAN_MILLIS);
+    assertThat(worker.address().port()).isIn(Range.closed(1, 65_535));
+    assertThat(worker.remainingMillis()).isIn(Range.closed(0L, MAX_SPAN_MILLIS));
+    assertThat(worker.coldMillis()).isIn(Range.closed(0L, MAX_SPAN_MILLIS));
     assertThat(worker.startedAtMillis()).isAtLeast(0L);
-    for (long amount :
-        List.of(
-            worker.capacity().milliCores(),
-            worker.capacity().memoryMb(),
-            worker.capacity().accelerators())) {
-      assertThat(amount).isAtLeast(0L);
-      assertThat(amount).isAtMost(MAX_AMOUNT);
-    }
+    assertThat(worker.capacity().milliCores()).isIn(Range.closed(0L, MAX_AMOUNT));
+    assertThat(worker.capacity().memoryMb()).isIn(Range.closed(0L, MAX_AMOUNT));
+    assertThat(worker.capacity().accelerators()).isIn(Range.closed(0L, MAX_AMOUNT));
   }
 
   @Example
@@ -146,14 +122,14 @@
       for (String value : ODD_VALUES) {
         Map<String, String> entry = soundEntry();
         entry.put(field, value);
-        onSmallStack(() -> decodeEverything(bytes(json(entry))));
+        SmallStack.run(() -> decodeEverything(bytes(json(entry))));
       }
     }
     for (String field : List.of("cpu", "mem_mb", "gpu")) {
       for (String value : ODD_VALUES) {
         Map<String, String> entry = soundEntry();
         entry.put("capacity", "{\"" + field + "\":" + value + "}");
-        onSmallStack(() -> decodeEverything(bytes(json(entry))));
+        SmallStack.run(() -> decodeEverything(bytes(json(entry))));
       }
     }
   }
@@ -171,7 +147,7 @@
               "{\"clock_ms\":9,\"running\":[[\"00000000000000c1.0.0.1\",1,\"\",%s]],\"ended\":[]}",
               "{\"clock_ms\":9,\"running\":[],\"ended\":[[%s,\"00000000000000c1.0.0.1\",1,\"done\"]]}",
               "{\"clock_ms\":9,\"running\":[],\"ended\":[[1,\"00000000000000c1.0.0.1\",%s,\"done\"]]}")) {
-        onSmallStack(() -> expectSoundRows(body.formatted(value)));
+        SmallStack.run(() -> expectSoundRows(body.formatted(value)));
       }
     }
   }
@@ -198,23 +174,20 @@
     if (reply.outcome() != CallOutcome.DONE) {
       return;
     }
-    assertThat(reply.clockMillis()).isAtLeast(0L);
-    assertThat(reply.clockMillis()).isAtMost(1L << 53);
+    assertThat(reply.clockMillis()).isIn(Range.closed(0L, MAX_COUNT));
     reply
         .running()
         .forEach(
             task -> {
               assertThat(task.run()).isAtLeast(1);
-              assertThat(task.percent()).isAtLeast(0);
-              assertThat(task.percent()).isAtMost(100);
+              assertThat(task.percent()).isIn(Range.closed(0, 100));
             });
     reply
         .ended()
         .forEach(
             task -> {
               assertThat(task.run()).isAtLeast(1);
-              assertThat(task.number()).isAtLeast(1L);
-              assertThat(task.number()).isAtMost(1L << 53);
+              assertThat(task.number()).isIn(Range.closed(1L, MAX_COUNT));
             });
   }
 
@@ -226,7 +199,7 @@
   @Property(tries = 500, seed = "2")
   void decodesAnyCutOfASoundEntry(@ForAll("cuts") int length) {
     byte[] whole = bytes(json(soundEntry()));
-    decodeEverything(java.util.Arrays.copyOf(whole, Math.min(length, whole.length)));
+    decodeEverything(Arrays.copyOf(whole, Math.min(length, whole.length)));
   }
 
   @Provide
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/LeavingFaultsTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/LeavingFaultsTest.java
@@ -23,7 +23,7 @@
 final class LeavingFaultsTest {
   private static final int ROUNDS = 14;
   private static final long NOTICE_MILLIS = 1_500;
-  private static final int JOBS = 20;
+  private static final int JOBS_PER_ROUND = 2;
 
   static LongStream seeds() {
     return RandomFaults.seeds();
@@ -71,8 +71,8 @@
     // Workers that leave do so once; the others are subject to every other fault.
     List<WorkerId> workers = cluster.workerIds();
     for (int round = 0; round < ROUNDS; round++) {
-      for (int i = 0; i < JOBS / ROUNDS + 1; i++) {
-        int number = round * JOBS + i;
+      for (int i = 0; i < JOBS_PER_ROUND; i++) {
+        int number = round * JOBS_PER_ROUND + i;
         cluster.submit(new JobId("%016x".formatted(number)), request(random), random.nextInt(3));
       }
       if (round % 2 == 0 && round / 2 < workers.size() / 2) {
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/UnwantedRunTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/UnwantedRunTest.java
@@ -54,57 +54,51 @@
     return busy;
   }
 
+  /** Cancels a job of one task while its worker is cut off, and returns the worker. */
+  private WorkerId cancelWhileCutOff() {
+    WorkerId worker = start(job(1, false)).get(0);
+    cluster.cut(worker, true);
+    cluster.time().pass(300);
+    cluster.cancel(JOB);
+    cluster.time().pass(500);
+    return worker;
+  }
+
   private void killPlanner() {
     cluster.kill(cluster.planner().orElseThrow(), 6_000);
   }
 
-  private void expectNoRuns() {
+  private void reconnectAndExpectNoRuns(List<WorkerId> workers) {
+    workers.forEach(worker -> cluster.cut(worker, false));
+    cluster.time().pass(MAX_MILLIS);
     assertThat(cluster.oracle().runningCount(JOB)).isEqualTo(0);
     assertThat(cluster.oracle().violations()).isEmpty();
   }
 
   @Test
   void stopsTheRunOfACancelledJobAfterAChangeOfPlanner() {
-    WorkerId worker = start(job(1, false)).get(0);
-    cluster.cut(worker, true);
-    cluster.time().pass(300);
-    cluster.cancel(JOB);
-    cluster.time().pass(500);
+    WorkerId worker = cancelWhileCutOff();
     killPlanner();
     cluster.time().pass(3_000);
-    cluster.cut(worker, false);
-    cluster.time().pass(MAX_MILLIS);
-    expectNoRuns();
+    reconnectAndExpectNoRuns(List.of(worker));
   }
 
   @Test
   void stopsTheRunOfACancelledJobAfterTwoChangesOfPlanner() {
-    WorkerId worker = start(job(1, false)).get(0);
-    cluster.cut(worker, true);
-    cluster.time().pass(300);
-    cluster.cancel(JOB);
-    cluster.time().pass(500);
+    WorkerId worker = cancelWhileCutOff();
     killPlanner();
     cluster.time().pass(2_500);
     killPlanner();
     cluster.time().pass(2_500);
-    cluster.cut(worker, false);
-    cluster.time().pass(MAX_MILLIS);
-    expectNoRuns();
+    reconnectAndExpectNoRuns(List.of(worker));
   }
 
   @Test
   void stopsTheRunOfACancelledJobWhosePlannerIsFrozen() {
-    WorkerId worker = start(job(1, false)).get(0);
-    cluster.cut(worker, true);
-    cluster.time().pass(300);
-    cluster.cancel(JOB);
-    cluster.time().pass(500);
+    WorkerId worker = cancelWhileCutOff();
     cluster.pause(cluster.planner().orElseThrow(), 5_000);
     cluster.time().pass(3_000);
-    cluster.cut(worker, false);
-    cluster.time().pass(MAX_MILLIS);
-    expectNoRuns();
+    reconnectAndExpectNoRuns(List.of(worker));
   }
 
   // One member ends with its worker, the other is cut off when the gang is to be stopped.
@@ -119,9 +113,7 @@
     cluster.time().pass(500);
     killPlanner();
     cluster.time().pass(2_000);
-    cluster.cut(workers.get(0), false);
-    cluster.time().pass(MAX_MILLIS);
-    expectNoRuns();
+    reconnectAndExpectNoRuns(workers);
   }
 
   // A task that crashes its workers is given up, and the job with it.
@@ -140,8 +132,6 @@
     }
     killPlanner();
     cluster.time().pass(1_500);
-    cluster.workerIds().forEach(worker -> cluster.cut(worker, false));
-    cluster.time().pass(MAX_MILLIS);
-    expectNoRuns();
+    reconnectAndExpectNoRuns(cluster.workerIds());
   }
 }
