Build the soak from what the project had

- The behaviour of tasks was written again for the soak; SimulatedTasks serves both now.
- Settings file, ports and caller calls of the bench start and of the soak were two copies; EdgeProcess and CallerClient serve both.
LoopbackPorts replaces two older copies of a free port, too.
- A fault is played by one method.
An action that fails there was lost; it fails the soak now.
- Dead code goes, and the soak stops the servers that it started.

The order of random choices is kept.

--- a/org.peridotroute.bench/src/org/peridotroute/bench/BenchCluster.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/BenchCluster.java
@@ -1,7 +1,6 @@
 package org.peridotroute.bench;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -13,6 +12,7 @@
 import org.peridotroute.lib.PlaceId;
 import org.peridotroute.lib.VmId;
 import org.peridotroute.lib.VmInfo;
+import org.peridotroute.standin.LoopbackPorts;
 import org.peridotroute.standin.PlatformStandIn;
 
 /**
@@ -66,7 +66,9 @@
    */
   public ServeProcess addVm() throws IOException {
     String name = "vm-" + (vms.size() + 1);
-    ServeProcess vm = new ServeProcess(name, freePort(), freePort(), jar, folder, platform.url());
+    ServeProcess vm =
+        new ServeProcess(
+            name, LoopbackPorts.findFree(), LoopbackPorts.findFree(), jar, folder, platform.url());
     vms.add(vm);
     platform.addVm(new VmInfo(new VmId(name), new PlaceId("quimper"), false, vm.url(), vm.peer()));
     vm.start();
@@ -137,10 +139,4 @@
       Thread.currentThread().interrupt();
     }
   }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
 }
--- a/org.peridotroute.bench/src/org/peridotroute/bench/EdgeProcess.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/EdgeProcess.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
+import org.peridotroute.standin.LoopbackPorts;
 
 /**
  * A process on an entry VM, started from the jar with the command of the deploy file. Used by one
@@ -15,6 +16,25 @@
 public final class EdgeProcess {
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  /** Longest lease that the settings tell the process workers grant, in milliseconds. */
+  public static final long LEASE_MILLIS = 6_000;
+
+  /** Longest time that a stop takes, in milliseconds. */
+  public static final long STOP_MILLIS = 900;
+
+  /** Time between two heartbeats of a worker, in milliseconds. */
+  public static final long HEARTBEAT_MILLIS = 1_500;
+
+  private static final String SETTINGS =
+      """
+      { "vm": "%s", "dataCentre": "a", "callers": "127.0.0.1:%d", "readiness": "127.0.0.1:%d",
+        "store": "%s", "leaseMillis": %d, "stopMillis": %d, "reclaimMillis": 3400,
+        "farFactor": 3, "heartbeatMillis": %d, "graceSeconds": 6, "processorShare": 0.75,
+        "processorSpeed": 1 }
+      """;
+
+  private final String vm;
+  private final int callerPort = LoopbackPorts.findFree();
   private final Path home;
   private final Path settings;
   private final Path output;
@@ -24,21 +44,44 @@
   private long startNanos;
 
   /**
-   * Creates a process that is not yet started.
+   * Writes the settings of a process that is not yet started.
    *
+   * @param vm name of its VM
+   * @param store host and port of the store
    * @param home root of the repository, where the process runs
-   * @param settings its settings file
-   * @param output file that its output goes to
+   * @param folder receives its settings file and its output, both named as the VM
    * @param prefix words before the command, such as those that pin it to a core
    * @param jvmOptions options of the JVM besides those of the deploy file
    */
   public EdgeProcess(
-      Path home, Path settings, Path output, List<String> prefix, List<String> jvmOptions) {
+      String vm, String store, Path home, Path folder, List<String> prefix, List<String> jvmOptions)
+      throws IOException {
+    this.vm = vm;
     this.home = home;
-    this.settings = settings;
-    this.output = output;
     this.prefix = prefix;
     this.jvmOptions = jvmOptions;
+    settings = folder.resolve(vm + ".json");
+    output = folder.resolve(vm + ".log");
+    Files.writeString(
+        settings,
+        SETTINGS.formatted(
+            vm,
+            callerPort,
+            LoopbackPorts.findFree(),
+            store,
+            LEASE_MILLIS,
+            STOP_MILLIS,
+            HEARTBEAT_MILLIS));
+  }
+
+  /** Returns the name of the VM. */
+  public String vm() {
+    return vm;
+  }
+
+  /** Returns the port for callers. */
+  public int callerPort() {
+    return callerPort;
   }
 
   /** Starts the process as the deploy file says. */
@@ -78,9 +121,9 @@
     process.waitFor();
   }
 
-  /** Returns the process id. */
-  public long pid() {
-    return process.pid();
+  /** Sends a signal, such as "STOP". */
+  public void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
   }
 
   /** Returns whether the process is running. */
--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakCallers.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakCallers.java
@@ -1,17 +1,13 @@
 package org.peridotroute.bench.soak;
 
-import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import org.peridotroute.bench.CallerClient;
+import org.peridotroute.bench.EdgeProcess;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobRequest;
@@ -23,7 +19,6 @@
  * until it is acknowledged, and cancel some jobs.
  */
 final class SoakCallers {
-  private static final Duration TIMEOUT = Duration.ofSeconds(3);
   private static final long RETRY_MILLIS = 300;
   private static final double CANCEL_SHARE = 0.1;
   private static final double GANG_SHARE = 0.2;
@@ -33,11 +28,7 @@
   private final SoakVms vms;
   private final SoakWorkers workers;
   private final Random random;
-  private final HttpClient client =
-      HttpClient.newBuilder()
-          .version(HttpClient.Version.HTTP_1_1)
-          .connectTimeout(Duration.ofSeconds(1))
-          .build();
+  private final CallerClient client = new CallerClient();
   private final Map<JobId, Boolean> cancelledByJob = new ConcurrentHashMap<>();
   private int jobCount;
 
@@ -102,8 +93,8 @@
   /** Repeats a call at random VMs until it is acknowledged. */
   private void call(String method, String path, String body) throws InterruptedException {
     while (true) {
-      SoakVms.Vm vm = vms.vms().get(ThreadLocalRandom.current().nextInt(vms.vms().size()));
-      int status = send(vm, method, path, body).status();
+      EdgeProcess vm = vms.vms().get(ThreadLocalRandom.current().nextInt(vms.vms().size()));
+      int status = client.send(vm, method, path, body).status();
       if (status == OK || status == GONE) {
         return;
       }
@@ -111,24 +102,6 @@
     }
   }
 
-  /** A response; its status is 0 if there was none. */
-  private record Answer(int status, String body) {}
-
-  private Answer send(SoakVms.Vm vm, String method, String path, String body)
-      throws InterruptedException {
-    HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + vm.callerPort() + path))
-            .timeout(TIMEOUT)
-            .method(method, HttpRequest.BodyPublishers.ofString(body))
-            .build();
-    try {
-      HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
-      return new Answer(response.statusCode(), response.body());
-    } catch (IOException e) {
-      return new Answer(0, "");
-    }
-  }
-
   int jobCount() {
     return jobCount;
   }
@@ -153,13 +126,14 @@
   }
 
   private String state(JobId id) throws InterruptedException {
-    Answer answer = new Answer(0, "");
-    for (SoakVms.Vm vm : vms.vms()) {
-      answer = send(vm, "GET", "/q0/" + id, "");
+    int status = 0;
+    for (EdgeProcess vm : vms.vms()) {
+      CallerClient.Answer answer = client.send(vm, "GET", "/q0/" + id, "");
       if (answer.status() == OK) {
         return answer.body();
       }
+      status = answer.status();
     }
-    return "status " + answer.status();
+    return "status " + status;
   }
 }
--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakFaults.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakFaults.java
@@ -1,7 +1,6 @@
 package org.peridotroute.bench.soak;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -12,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.peridotroute.adapter.standin.StoreStandIn;
+import org.peridotroute.bench.EdgeProcess;
 
 /**
  * Faults of a soak at seeded moments. They overlap, and each ends by itself. At most one fault at a
@@ -24,10 +24,24 @@
     void begin(long forMillis) throws IOException, InterruptedException;
   }
 
+  /** The beginning or the end of a fault. */
+  private interface Action {
+    void run() throws IOException, InterruptedException;
+  }
+
   private static final long MIN_MILLIS = 300;
   private static final int RANGE_MILLIS = 5_200;
   private static final long NOTICE_MILLIS = 1_000;
 
+  /** Time after the announcement at which a worker that leaves begins to refuse connections. */
+  private static final long REFUSED_AFTER_MILLIS = NOTICE_MILLIS + 200;
+
+  /** Time for which a worker stays after its announced end, besides that of its refusal. */
+  private static final long STAY_MILLIS = 4_000;
+
+  private static final long MAX_DOWN_MILLIS = 2_000;
+  private static final long SLOW_CALL_MILLIS = 150;
+
   private final StoreStandIn store;
   private final SoakVms vms;
   private final SoakWorkers workers;
@@ -35,6 +49,7 @@
   private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(4);
   private final Set<Object> busy = ConcurrentHashMap.newKeySet();
   private final Map<String, Integer> played = new TreeMap<>();
+  private volatile Exception failure;
 
   SoakFaults(StoreStandIn store, SoakVms vms, SoakWorkers workers, long seed) {
     this.store = store;
@@ -72,12 +87,15 @@
     return ended;
   }
 
-  /** Ends the faults that go on and waits for their ends. */
+  /** Waits for the ends of the faults that go on. */
   void stop() throws InterruptedException {
     timer.shutdown();
     if (!timer.awaitTermination(1, TimeUnit.MINUTES)) {
       throw new IllegalStateException("a fault of the soak does not end");
     }
+    if (failure != null) {
+      throw new IllegalStateException("a fault of the soak could not be played", failure);
+    }
   }
 
   /** Returns how often each kind of fault was played. */
@@ -85,166 +103,152 @@
     return played;
   }
 
-  private SoakWorkers.Worker freeWorker(String fault) {
-    SoakWorkers.Worker worker = workers.workers().get(random.nextInt(workers.workers().size()));
-    if (!busy.add(worker)) {
-      return null;
-    }
-    played.merge(fault, 1, Integer::sum);
-    return worker;
-  }
-
-  private void after(long millis, Object subject, Runnable action) {
+  private void later(long millis, Action action) {
     var unused =
         timer.schedule(
             () -> {
               try {
                 action.run();
-              } finally {
-                busy.remove(subject);
+              } catch (IOException | RuntimeException e) {
+                failure = e;
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
               }
             },
             millis,
             TimeUnit.MILLISECONDS);
   }
 
-  private void cutWorker(long forMillis) {
-    SoakWorkers.Worker worker = freeWorker("cut");
-    if (worker != null) {
-      worker.setCut(true);
-      after(forMillis, worker, () -> worker.setCut(false));
-    }
-  }
-
-  private void refuseWorker(long forMillis) {
-    SoakWorkers.Worker worker = freeWorker("refuse");
-    if (worker != null) {
-      worker.setRefusing(true);
-      after(forMillis, worker, () -> worker.setRefusing(false));
-    }
-  }
-
-  /** A worker leaves, is cut off for a while after its announced end, and exits later. */
-  private void leaveWhileRefused(long forMillis) {
-    SoakWorkers.Worker worker = freeWorker("leave-refused");
-    if (worker == null) {
+  /**
+   * Plays a fault unless another one changes its subject already.
+   *
+   * @param begin begins the fault
+   * @param forMillis time until its end
+   * @param end ends the fault
+   */
+  private void play(String fault, Object subject, Action begin, long forMillis, Action end)
+      throws IOException, InterruptedException {
+    if (!busy.add(subject)) {
       return;
     }
-    worker.announceLeave(NOTICE_MILLIS);
-    var unusedRefusal =
-        timer.schedule(() -> worker.setRefusing(true), NOTICE_MILLIS + 200, TimeUnit.MILLISECONDS);
-    var unusedReturn =
-        timer.schedule(
-            () -> worker.setRefusing(false),
-            NOTICE_MILLIS + 200 + forMillis,
-            TimeUnit.MILLISECONDS);
-    after(NOTICE_MILLIS + 4_000 + forMillis, worker, () -> replace(worker));
-  }
-
-  private void leave(long forMillis) {
-    SoakWorkers.Worker worker = freeWorker("leave");
-    if (worker != null) {
-      worker.announceLeave(NOTICE_MILLIS);
-      after(NOTICE_MILLIS + forMillis, worker, () -> replace(worker));
-    }
+    played.merge(fault, 1, Integer::sum);
+    begin.run();
+    later(
+        forMillis,
+        () -> {
+          end.run();
+          busy.remove(subject);
+        });
   }
 
-  private static void replace(SoakWorkers.Worker worker) {
-    worker.exit();
-    worker.begin(false);
+  private SoakWorkers.Worker randomWorker() {
+    return workers.workers().get(random.nextInt(workers.workers().size()));
   }
 
-  private void unlist(long forMillis) {
-    SoakWorkers.Worker worker = freeWorker("unlist");
-    if (worker != null) {
-      worker.setListed(false);
-      after(forMillis, worker, () -> worker.setListed(true));
-    }
+  private EdgeProcess randomVm() {
+    List<EdgeProcess> all = vms.vms();
+    return random.nextBoolean() ? vms.planner() : all.get(random.nextInt(all.size()));
   }
 
-  private void crashWorker(long forMillis) {
-    boolean sameId = random.nextBoolean();
-    SoakWorkers.Worker worker = freeWorker(sameId ? "crash-same-id" : "crash-new-id");
-    if (worker != null) {
-      worker.exit();
-      after(forMillis, worker, () -> worker.begin(sameId));
-    }
+  private void cutWorker(long forMillis) throws IOException, InterruptedException {
+    SoakWorkers.Worker worker = randomWorker();
+    play("cut", worker, () -> worker.setCut(true), forMillis, () -> worker.setCut(false));
   }
 
-  private SoakVms.Vm freeVm(String fault) {
-    List<SoakVms.Vm> all = vms.vms();
-    SoakVms.Vm vm = random.nextBoolean() ? vms.planner() : all.get(random.nextInt(all.size()));
-    if (!busy.add(vm)) {
-      return null;
-    }
-    played.merge(fault, 1, Integer::sum);
-    return vm;
-  }
-
-  private static void restart(SoakVms.Vm vm) {
-    try {
-      vm.process().start();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+  private void refuseWorker(long forMillis) throws IOException, InterruptedException {
+    SoakWorkers.Worker worker = randomWorker();
+    play(
+        "refuse",
+        worker,
+        () -> worker.setRefusing(true),
+        forMillis,
+        () -> worker.setRefusing(false));
   }
 
-  private void killVm(long forMillis) throws InterruptedException {
-    SoakVms.Vm vm = freeVm("kill");
-    if (vm != null) {
-      vm.process().kill();
-      after(Math.min(forMillis, 2_000), vm, () -> restart(vm));
-    }
+  /** A worker leaves, is cut off for a while after its announced end, and exits later. */
+  private void leaveWhileRefused(long forMillis) throws IOException, InterruptedException {
+    SoakWorkers.Worker worker = randomWorker();
+    play(
+        "leave-refused",
+        worker,
+        () -> {
+          worker.announceLeave(NOTICE_MILLIS);
+          later(REFUSED_AFTER_MILLIS, () -> worker.setRefusing(true));
+          later(REFUSED_AFTER_MILLIS + forMillis, () -> worker.setRefusing(false));
+        },
+        NOTICE_MILLIS + STAY_MILLIS + forMillis,
+        () -> replace(worker));
+  }
+
+  private void leave(long forMillis) throws IOException, InterruptedException {
+    SoakWorkers.Worker worker = randomWorker();
+    play(
+        "leave",
+        worker,
+        () -> worker.announceLeave(NOTICE_MILLIS),
+        NOTICE_MILLIS + forMillis,
+        () -> replace(worker));
   }
 
-  private void freezeVm(long forMillis) throws IOException, InterruptedException {
-    SoakVms.Vm vm = freeVm("freeze");
-    if (vm != null) {
-      vm.signal("STOP");
-      after(forMillis, vm, () -> signal(vm, "CONT"));
-    }
+  private static void replace(SoakWorkers.Worker worker) {
+    worker.exit();
+    worker.begin(false);
   }
 
-  private static void signal(SoakVms.Vm vm, String name) {
-    try {
-      vm.signal(name);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  private void unlist(long forMillis) throws IOException, InterruptedException {
+    SoakWorkers.Worker worker = randomWorker();
+    play("unlist", worker, () -> worker.setListed(false), forMillis, () -> worker.setListed(true));
   }
 
-  private void rollVm(long forMillis) {
-    SoakVms.Vm vm = freeVm("roll");
-    if (vm != null) {
-      after(
-          0,
-          vm,
-          () -> {
-            try {
-              vm.process().stop();
-            } catch (InterruptedException e) {
-              Thread.currentThread().interrupt();
-            }
-            restart(vm);
-          });
-    }
+  private void crashWorker(long forMillis) throws IOException, InterruptedException {
+    boolean sameId = random.nextBoolean();
+    SoakWorkers.Worker worker = randomWorker();
+    play(
+        sameId ? "crash-same-id" : "crash-new-id",
+        worker,
+        worker::exit,
+        forMillis,
+        () -> worker.begin(sameId));
   }
 
-  private void storeAway(long forMillis) {
-    if (busy.add(store)) {
-      played.merge("store-away", 1, Integer::sum);
-      store.setAvailable(false);
-      after(forMillis, store, () -> store.setAvailable(true));
-    }
+  private void killVm(long forMillis) throws IOException, InterruptedException {
+    EdgeProcess vm = randomVm();
+    play("kill", vm, vm::kill, Math.min(forMillis, MAX_DOWN_MILLIS), vm::start);
   }
 
-  private void storeSlow(long forMillis) {
-    if (busy.add(store)) {
-      played.merge("store-slow", 1, Integer::sum);
-      store.setDelayMillis(150);
-      after(forMillis, store, () -> store.setDelayMillis(0));
-    }
+  private void freezeVm(long forMillis) throws IOException, InterruptedException {
+    EdgeProcess vm = randomVm();
+    play("freeze", vm, () -> vm.signal("STOP"), forMillis, () -> vm.signal("CONT"));
+  }
+
+  private void rollVm(long forMillis) throws IOException, InterruptedException {
+    EdgeProcess vm = randomVm();
+    play(
+        "roll",
+        vm,
+        () -> {},
+        0,
+        () -> {
+          vm.stop();
+          vm.start();
+        });
+  }
+
+  private void storeAway(long forMillis) throws IOException, InterruptedException {
+    play(
+        "store-away",
+        store,
+        () -> store.setAvailable(false),
+        forMillis,
+        () -> store.setAvailable(true));
+  }
+
+  private void storeSlow(long forMillis) throws IOException, InterruptedException {
+    play(
+        "store-slow",
+        store,
+        () -> store.setDelayMillis(SLOW_CALL_MILLIS),
+        forMillis,
+        () -> store.setDelayMillis(0));
   }
 }
--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakMain.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakMain.java
@@ -1,7 +1,6 @@
 package org.peridotroute.bench.soak;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -98,6 +97,8 @@
     ended += vms.restartEnded(vm -> false);
     List<String> unfinished = awaitEnds();
     ended += vms.restartEnded(vm -> false);
+    workers.stop();
+    store.stop();
     report(ended, unfinished);
     return workers.violations().isEmpty() && unfinished.isEmpty() && ended == 0;
   }
@@ -143,8 +144,6 @@
   private void stopVms() {
     try {
       vms.stop();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakWorkers.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakWorkers.java
@@ -5,31 +5,28 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
 import org.peridotroute.adapter.standin.ModelledWorkerStandIn;
 import org.peridotroute.adapter.standin.StoreStandIn;
+import org.peridotroute.bench.EdgeProcess;
 import org.peridotroute.scheduler.model.Capacity;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobRequest;
-import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.port.Time;
 import org.peridotroute.scheduler.port.Topic;
 import org.peridotroute.scheduler.port.WorkerGateway.RunEnd;
+import org.peridotroute.standin.world.SimulatedTasks;
 import org.peridotroute.standin.world.SimulationOracle;
-import org.peridotroute.standin.world.WorkerFault;
 import org.peridotroute.standin.world.WorkerModel;
 
 /**
  * The workers of a soak, their entries in the store, and the oracle that observes their runs.
  * Thread-safe; started once and stopped once.
  */
-final class SoakWorkers implements WorkerModel.Environment {
+final class SoakWorkers {
   static final String SERVICE = "soak";
-  static final long MAX_LEASE_MILLIS = 6_000;
-  static final long STOP_MILLIS = 900;
-  static final long HEARTBEAT_MILLIS = 1_500;
-  static final Capacity CAPACITY = new Capacity(64_000, 131_072, 8);
+
+  private static final Capacity CAPACITY = new Capacity(64_000, 131_072, 8);
 
   private static final long CANCEL_MILLIS = 3_000;
 
@@ -47,7 +44,7 @@
   private final Random random;
   private final SimulationOracle oracle =
       new SimulationOracle(Time.SYSTEM, CAPACITY, CANCEL_MILLIS, CANCEL_MILLIS);
-  private final Map<JobId, JobRequest> requests = new ConcurrentHashMap<>();
+  private final SimulatedTasks tasks;
   private final List<Worker> workers = new ArrayList<>();
   private final Map<TaskId, Integer> crashes = new HashMap<>();
   private final Thread stepper = new Thread(this::step, "soak-workers");
@@ -78,7 +75,7 @@
 
     private WorkerModel newIncarnation() {
       double rate = random.nextBoolean() ? SLOW_CLOCK_RATE : 1;
-      return new WorkerModel(id, Time.SYSTEM, rate, SoakWorkers.this, oracle);
+      return new WorkerModel(id, Time.SYSTEM, rate, tasks, oracle);
     }
 
     /** Loses all calls and responses, or stops doing so. */
@@ -112,10 +109,6 @@
       }
     }
 
-    boolean isDraining() {
-      return draining;
-    }
-
     /** Ends the process of the worker; its port refuses connections. */
     void exit() {
       synchronized (lock) {
@@ -148,30 +141,28 @@
       if (down || !listed || nowMillis < nextHeartbeatMillis) {
         return;
       }
-      nextHeartbeatMillis = nowMillis + HEARTBEAT_MILLIS;
+      nextHeartbeatMillis = nowMillis + EdgeProcess.HEARTBEAT_MILLIS;
       store.put(Topic.WORKERS, id, entry(nowMillis));
     }
 
     private String entry(long nowMillis) {
-      String remaining =
-          draining
-              ? "\"remaining_ms\":%d,".formatted(Math.max(0, announcedEndMillis - nowMillis))
-              : "";
-      return "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"a\",\"state\":\"%s\",%s"
-              .formatted(SERVICE, server.address(), draining ? "draining" : "ready", remaining)
-          + "\"labels\":[\"a\",\"r-%d\"],\"capacity\":{\"cpu\":%d,\"mem_mb\":%d,\"gpu\":%d},"
-              .formatted(
-                  number / WORKERS_PER_RACK,
-                  CAPACITY.milliCores(),
-                  CAPACITY.memoryMb(),
-                  CAPACITY.accelerators())
-          + "\"born\":%d}".formatted(server.incarnation().startedMillis());
+      long remainingMillis = draining ? Math.max(0, announcedEndMillis - nowMillis) : -1;
+      return server.entry(SERVICE, "r-" + number / WORKERS_PER_RACK, CAPACITY, remainingMillis);
     }
   }
 
   SoakWorkers(StoreStandIn store, int count, long seed) {
     this.store = store;
     random = new Random(seed);
+    tasks =
+        new SimulatedTasks(
+            new Random(seed),
+            () -> workers.stream().map(worker -> worker.server.incarnation()),
+            EdgeProcess.LEASE_MILLIS,
+            EdgeProcess.STOP_MILLIS / 2,
+            worker -> {
+              throw new IllegalStateException("no task of a soak crashes " + worker.id());
+            });
     for (int i = 0; i < count; i++) {
       workers.add(new Worker(i));
     }
@@ -211,8 +202,8 @@
 
   /** Records a job before it is submitted. */
   void onSubmitted(JobId id, JobRequest request) {
-    requests.put(id, request);
     synchronized (lock) {
+      tasks.addJob(id, request);
       oracle.onSubmitted(id, request);
     }
   }
@@ -253,61 +244,4 @@
       return oracle.violations();
     }
   }
-
-  private StepSpec step(TaskId task) {
-    return requests.get(task.job()).steps().get(task.step().step());
-  }
-
-  @Override
-  public WorkerModel.Behaviour behaviour(TaskId task, int run) {
-    StepSpec step = step(task);
-    return new WorkerModel.Behaviour(
-        step.reserved(),
-        step.estimateMillis(),
-        false,
-        step.gang() ? step.count() : 0,
-        Long.MAX_VALUE,
-        step.checkpoints());
-  }
-
-  @Override
-  public boolean failsBy(WorkerFault fault) {
-    return false;
-  }
-
-  @Override
-  public int countRunningMembers(TaskId task, int run) {
-    int count = 0;
-    for (int i = 0; i < step(task).count(); i++) {
-      TaskId member = new TaskId(task.step(), i);
-      for (Worker worker : workers) {
-        count += worker.server.incarnation().runs(member, run) ? 1 : 0;
-      }
-    }
-    return count;
-  }
-
-  @Override
-  public void onMemberEnded(TaskId task, int run, RunEnd end) {
-    for (int i = 0; i < step(task).count(); i++) {
-      for (Worker worker : workers) {
-        worker.server.incarnation().endMember(new TaskId(task.step(), i), run, end);
-      }
-    }
-  }
-
-  @Override
-  public void onCrash(WorkerModel worker) {
-    throw new IllegalStateException("no task of a soak crashes its worker");
-  }
-
-  @Override
-  public long maxLeaseMillis() {
-    return MAX_LEASE_MILLIS;
-  }
-
-  @Override
-  public long stopMillis() {
-    return STOP_MILLIS / 2;
-  }
 }
--- a/org.peridotroute.bench/src/org/peridotroute/bench/start/StartMain.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/start/StartMain.java
@@ -3,15 +3,9 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -22,6 +16,7 @@
 import org.peridotroute.adapter.standin.StoreStandIn;
 import org.peridotroute.adapter.standin.WorkerCallsStandIn;
 import org.peridotroute.bench.Arguments;
+import org.peridotroute.bench.CallerClient;
 import org.peridotroute.bench.EdgeProcess;
 import org.peridotroute.bench.Figures;
 import org.peridotroute.scheduler.port.Topic;
@@ -42,14 +37,6 @@
   private static final long TIMEOUT_MILLIS = 30_000;
   private static final int OK = 200;
 
-  private static final String SETTINGS =
-      """
-      { "vm": "vm-1", "dataCentre": "a", "callers": "127.0.0.1:%d", "readiness": "127.0.0.1:%d",
-        "store": "%s", "leaseMillis": 6000, "stopMillis": 900, "reclaimMillis": 3400,
-        "farFactor": 3, "heartbeatMillis": 1500, "graceSeconds": 6, "processorShare": 0.75,
-        "processorSpeed": 1 }
-      """;
-
   private static final String CONFIGURATION =
       "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\",\"path_prefix\":\"/q/\","
           + "\"service\":\"s\",\"priority\":0,\"max_attempts\":3,\"stretch\":1.5,\"slo_ms\":400,"
@@ -68,20 +55,15 @@
   private final Figures figures = new Figures(System.out);
   private final StoreStandIn store = new StoreStandIn(APPEND_MILLIS);
   private final List<WorkerCallsStandIn> workers = new ArrayList<>();
-  private final HttpClient caller =
-      HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+  private final CallerClient caller = new CallerClient();
   private final Map<Milestone, DoubleHistogram> wallMillis = new EnumMap<>(Milestone.class);
   private final Map<Milestone, DoubleHistogram> cpuMillis = new EnumMap<>(Milestone.class);
-  private final int callerPort;
   private final EdgeProcess process;
   private int jobCount;
 
   private StartMain(Path home, List<String> prefix, List<String> jvmOptions) throws IOException {
     Path folder = Files.createTempDirectory("peridotroute-start");
-    callerPort = freePort();
-    Path settings = folder.resolve("edge.json");
     store.start();
-    Files.writeString(settings, SETTINGS.formatted(callerPort, freePort(), store.address()));
     store.put(Topic.CONFIGURATION, "config", CONFIGURATION);
     for (int i = 0; i < WORKERS; i++) {
       WorkerCallsStandIn worker = new WorkerCallsStandIn();
@@ -89,7 +71,7 @@
       workers.add(worker);
       store.put(Topic.WORKERS, "w-" + i, worker.entry("s", "r-" + i / WORKERS_PER_RACK));
     }
-    process = new EdgeProcess(home, settings, folder.resolve("edge.log"), prefix, jvmOptions);
+    process = new EdgeProcess("vm-1", store.address(), home, folder, prefix, jvmOptions);
     for (Milestone milestone : Milestone.values()) {
       wallMillis.put(milestone, new DoubleHistogram(3));
       cpuMillis.put(milestone, new DoubleHistogram(3));
@@ -164,7 +146,7 @@
 
   private boolean isPortOpen() {
     try (Socket socket = new Socket()) {
-      socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), callerPort));
+      socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), process.callerPort()));
       return true;
     } catch (IOException e) {
       return false;
@@ -204,21 +186,6 @@
 
   /** Returns the status of the answer, 0 if there was none. */
   private int call(String method, String id) throws InterruptedException {
-    HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callerPort + "/q/" + id))
-            .timeout(Duration.ofSeconds(3))
-            .method(method, HttpRequest.BodyPublishers.ofString(method.equals("POST") ? JOB : ""))
-            .build();
-    try {
-      return caller.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
-    } catch (IOException e) {
-      return 0;
-    }
-  }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
+    return caller.send(process, method, "/q/" + id, method.equals("POST") ? JOB : "").status();
   }
 }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/LoopbackPorts.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/LoopbackPorts.java
@@ -1,4 +1,4 @@
-package org.peridotroute.adapter.standin;
+package org.peridotroute.standin;
 
 import java.io.IOException;
 import java.net.InetAddress;
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -123,7 +123,13 @@
             new PolicySettings(features, CLOSURE_MILLIS, 1, 0, Map.of()));
     random = new Random(seed);
     this.events = events;
-    tasks = new SimulatedTasks(random, workers, dispatchSettings, this::crashWorker);
+    tasks =
+        new SimulatedTasks(
+            random,
+            () -> workers.values().stream().map(host -> host.incarnation),
+            dispatchSettings.leaseMillis(),
+            dispatchSettings.stopMillis() / 2,
+            worker -> crashWorker(new WorkerId(worker.id())));
     workerGateway =
         new SimulatedWorkerGateway(
             time, random, oracle, workers, dispatchSettings.callTimeoutMillis());
@@ -430,7 +436,7 @@
    * @param priority priority of its queue
    */
   public void submit(JobId id, JobRequest request, int priority) {
-    tasks.requests.put(id, request);
+    tasks.addJob(id, request);
     oracle.onSubmitted(id, request);
     trySubmit(SimulatedRecords.submission(id, request, priority, time.wallMillis()));
   }
@@ -442,7 +448,7 @@
 
   /** Submits a job to one VM, without retries. */
   public CompletableFuture<RequestOutcome> submitAt(String name, JobId id, JobRequest request) {
-    tasks.requests.put(id, request);
+    tasks.addJob(id, request);
     oracle.onSubmitted(id, request);
     return vms.get(name)
         .scheduler
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedTasks.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedTasks.java
@@ -6,36 +6,54 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.peridotroute.lib.WorkerId;
-import org.peridotroute.scheduler.dispatch.DispatchSettings;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.StepSpec;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.port.WorkerGateway;
 
-/** Derives the behaviour of tasks from the submitted jobs. */
-final class SimulatedTasks implements WorkerModel.Environment {
-  final Map<JobId, JobRequest> requests = new HashMap<>();
+/** Derives the behaviour of tasks from the submitted jobs. Used by one thread at a time. */
+public final class SimulatedTasks implements WorkerModel.Environment {
+  private final Map<JobId, JobRequest> requests = new HashMap<>();
   final Map<TaskId, Long> crashAfterMillis = new HashMap<>();
   final Set<JobId> failingJobs = new HashSet<>();
   double failingTaskShare;
   private final Random random;
-  private final Map<WorkerId, WorkerHost> workers;
-  private final DispatchSettings dispatchSettings;
-  private final Consumer<WorkerId> onCrash;
+  private final Supplier<Stream<WorkerModel>> incarnations;
+  private final long maxLeaseMillis;
+  private final long stopMillis;
+  private final Consumer<WorkerModel> onCrash;
 
-  SimulatedTasks(
+  /**
+   * Creates the behaviour of tasks.
+   *
+   * @param random decides which runs fail
+   * @param incarnations returns the current incarnations of all workers
+   * @param maxLeaseMillis longest lease that workers grant
+   * @param stopMillis how long a run takes to stop
+   * @param onCrash called with a worker whose run crashes it
+   */
+  public SimulatedTasks(
       Random random,
-      Map<WorkerId, WorkerHost> workers,
-      DispatchSettings dispatchSettings,
-      Consumer<WorkerId> onCrash) {
+      Supplier<Stream<WorkerModel>> incarnations,
+      long maxLeaseMillis,
+      long stopMillis,
+      Consumer<WorkerModel> onCrash) {
     this.random = random;
-    this.workers = workers;
-    this.dispatchSettings = dispatchSettings;
+    this.incarnations = incarnations;
+    this.maxLeaseMillis = maxLeaseMillis;
+    this.stopMillis = stopMillis;
     this.onCrash = onCrash;
   }
 
+  /** Adds a job before any of its tasks starts. */
+  public void addJob(JobId id, JobRequest request) {
+    requests.put(id, request);
+  }
+
   @Override
   public WorkerModel.Behaviour behaviour(TaskId task, int run) {
     StepSpec step = requests.get(task.job()).steps().get(task.step().step());
@@ -56,39 +74,39 @@
 
   @Override
   public void onCrash(WorkerModel worker) {
-    onCrash.accept(new WorkerId(worker.id()));
+    onCrash.accept(worker);
   }
 
   @Override
   public int countRunningMembers(TaskId task, int run) {
-    int count = 0;
-    StepSpec step = requests.get(task.job()).steps().get(task.step().step());
-    for (int i = 0; i < step.count(); i++) {
-      TaskId member = new TaskId(task.step(), i);
-      for (WorkerHost host : workers.values()) {
-        count += host.incarnation.runs(member, run) ? 1 : 0;
-      }
-    }
-    return count;
+    int members = requests.get(task.job()).steps().get(task.step().step()).count();
+    return (int)
+        incarnations
+            .get()
+            .mapToLong(
+                worker ->
+                    IntStream.range(0, members)
+                        .filter(i -> worker.runs(new TaskId(task.step(), i), run))
+                        .count())
+            .sum();
   }
 
   @Override
   public void onMemberEnded(TaskId task, int run, WorkerGateway.RunEnd end) {
-    StepSpec step = requests.get(task.job()).steps().get(task.step().step());
-    for (int i = 0; i < step.count(); i++) {
-      for (WorkerHost host : workers.values()) {
-        host.incarnation.endMember(new TaskId(task.step(), i), run, end);
-      }
+    int members = requests.get(task.job()).steps().get(task.step().step()).count();
+    for (int i = 0; i < members; i++) {
+      TaskId member = new TaskId(task.step(), i);
+      incarnations.get().forEach(worker -> worker.endMember(member, run, end));
     }
   }
 
   @Override
   public long maxLeaseMillis() {
-    return dispatchSettings.leaseMillis();
+    return maxLeaseMillis;
   }
 
   @Override
   public long stopMillis() {
-    return dispatchSettings.stopMillis() / 2;
+    return stopMillis;
   }
 }
