--- a/review/standin-2/lab/Deployment.java
+++ b/review/standin-2/lab/Deployment.java
@@ -2,8 +2,6 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -29,6 +27,8 @@
 final class Deployment {
   static final String HOST = "queue.example";
   static final String KEY = "tenant-key-1";
+  static final String OTHER_KEY = "tenant-key-2";
+  static final long GUARANTEED_ACCELERATORS = 16;
   static final String SERVICE = "render";
   static final long START_TIMEOUT_MILLIS = 30_000;
   private static final long MAX_MILLIS = 112_000;
@@ -58,8 +58,8 @@
 
     private Node(String name) throws IOException {
       this.name = name;
-      front = freePort();
-      ready = freePort();
+      front = Ports.choose();
+      ready = Ports.choose();
       settings = temporary.resolve(name + ".json");
       Files.writeString(settings, renderSettings(this));
     }
@@ -147,12 +147,6 @@
     watchdog.start();
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   private List<String> command() throws IOException {
     Matcher run =
         Pattern.compile("(?m)^run = \"(.*)\"$")
@@ -213,7 +207,16 @@
     }
   }
 
-  /** Publishes the configuration: queues of one service and one tenant. */
+  private static Map<String, Object> tenant(String name, String key, long accelerators) {
+    Map<String, Object> tenant = new LinkedHashMap<>();
+    tenant.put("name", name);
+    tenant.put("api_keys", List.of(key));
+    tenant.put("priority", 1L);
+    tenant.put("guaranteed", Map.of("gpu", accelerators));
+    return tenant;
+  }
+
+  /** Publishes the configuration: queues of one service, and two tenants. */
   void configure(Queue... queues) {
     List<Object> routes = new ArrayList<>();
     for (Queue queue : queues) {
@@ -239,11 +242,6 @@
     service.put("tls", false);
     service.put("enforces_capacity", false);
     service.put("standby", false);
-    Map<String, Object> tenant = new LinkedHashMap<>();
-    tenant.put("name", "tenant-1");
-    tenant.put("api_keys", List.of(KEY));
-    tenant.put("priority", 1L);
-    tenant.put("guaranteed", Map.of("gpu", 8L));
     Map<String, Object> limits = new LinkedHashMap<>();
     limits.put("max_header_bytes", 16_384L);
     limits.put("max_body_bytes", 262_144L);
@@ -254,7 +252,10 @@
     configuration.put("routes", routes);
     configuration.put("services", List.of(service));
     configuration.put("limits", limits);
-    configuration.put("tenants", List.of(tenant));
+    configuration.put(
+        "tenants",
+        List.of(
+            tenant("tenant-1", KEY, GUARANTEED_ACCELERATORS), tenant("tenant-2", OTHER_KEY, 0)));
     store.put("keyed.op", "config", Json.write(configuration));
     record.line("the configuration is stored");
   }
@@ -280,10 +281,14 @@
    * @return the status and the body; status 0 if there was no response
    */
   Reply call(Node node, String method, String path, String body) {
+    return call(node, method, path, body, KEY);
+  }
+
+  private Reply call(Node node, String method, String path, String body, String key) {
     HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.front + path))
             .timeout(Duration.ofMillis(3_000))
-            .header("Authorization", "Bearer " + KEY)
+            .header("Authorization", "Bearer " + key)
             .header("Content-Type", "application/json")
             .header("Peridotroute-Timeout-Ms", "3000")
             .header("Host", HOST)
@@ -313,8 +318,12 @@
 
   /** Submits a job with up to five attempts at the processes in turn, as clients do. */
   void submit(String path, String body) throws InterruptedException, Case.NotRun {
+    submit(path, body, KEY);
+  }
+
+  void submit(String path, String body, String key) throws InterruptedException, Case.NotRun {
     for (int attempt = 0; attempt < 5; attempt++) {
-      if (call(nodes.get(attempt % nodes.size()), "POST", path, body).status() == 200) {
+      if (call(nodes.get(attempt % nodes.size()), "POST", path, body, key).status() == 200) {
         return;
       }
       Thread.sleep(1_000);
--- a/review/standin-2/lab/Http.java
+++ b/review/standin-2/lab/Http.java
@@ -30,7 +30,7 @@
   /**
    * Starts a server.
    *
-   * @param port the port, 0 for any free one
+   * @param port the port
    */
   Http(int port, HttpHandler handler) {
     try {
--- a/review/standin-2/lab/Store.java
+++ b/review/standin-2/lab/Store.java
@@ -58,7 +58,7 @@
 
   Store(long answerMillis) {
     this.answerMillis = answerMillis;
-    http = new Http(0, this::handle);
+    http = new Http(Ports.choose(), this::handle);
   }
 
   String address() {
--- a/review/standin-2/lab/Worker.java
+++ b/review/standin-2/lab/Worker.java
@@ -89,9 +89,7 @@
     this.store = store;
     this.record = record;
     this.outcomes = outcomes;
-    Http probe = new Http(0, exchange -> {});
-    port = probe.port();
-    probe.close();
+    port = Ports.choose();
     description = new LinkedHashMap<>();
     description.put("service", service);
     description.put("address", "127.0.0.1:" + port);
@@ -126,6 +124,12 @@
     description.put("address", "127.0.0.1:" + otherPort);
   }
 
+  /** Makes the worker one of another kind, from its next start on. */
+  synchronized void become(List<String> labels, long cpu, long memory, long gpu) {
+    description.put("labels", List.copyOf(labels));
+    description.put("capacity", capacity(cpu, memory, gpu));
+  }
+
   /**
    * Makes the next incarnations slow at their start.
    *
@@ -248,6 +252,11 @@
       Http.reply(exchange, 421, "{}");
       return;
     }
+    if (bytes.length == 0) {
+      // The caller has gone in the middle of its request.
+      exchange.close();
+      return;
+    }
     Map<String, Object> body = Json.object(new String(bytes, StandardCharsets.UTF_8));
     switch (path) {
       case "/api/run-start" -> start(exchange, body);
