--- a/review/standin-3/lab3/Deployment.java
+++ b/review/standin-3/lab3/Deployment.java
@@ -17,6 +17,7 @@
  */
 final class Deployment {
   static final String SERVICE = "gabarit";
+  static final String OTHER_SERVICE = "gabarit-neuf";
   static final String HOST = "nony24.example";
   static final String KEY = "key-atelier-1";
   private static final String[] ZONES = {"quimper-a", "paris-nord", "lyon-est"};
@@ -50,13 +51,17 @@
     store.start();
   }
 
-  /** Adds a worker; eight stand in a rack. */
+  /** Adds a worker of the usual service; eight stand in a rack. */
   Worker addWorker(String kind, Worker.Script script) throws IOException {
+    return addWorker(SERVICE, kind, script);
+  }
+
+  Worker addWorker(String service, String kind, Worker.Script script) throws IOException {
     int number = workers.size();
     String rack = "r" + (1 + number / 8 % 3) + "-" + (1 + number / 24);
     Worker worker =
         new Worker(
-            "w" + number, kind, rack, ZONES[number / 8 % 3], store, record, script);
+            "w" + number, service, kind, rack, ZONES[number / 8 % 3], store, record, script);
     workers.add(worker);
     worker.start();
     return worker;
@@ -64,28 +69,50 @@
 
   /** Writes a configuration with an urgent, a usual and a bulk queue. */
   void configure() {
+    configure(7, SERVICE, true);
+  }
+
+  /**
+   * Writes a configuration.
+   *
+   * @param checkService service of the bulk queue
+   * @param usual whether the usual service is named; the urgent and the usual queue go with it
+   */
+  void configure(long version, String checkService, boolean usual) {
     List<Object> routes = new ArrayList<>();
-    routes.add(route("r-proof", "/proof/", 0, 4, 1.5));
-    routes.add(route("r-print", "/print/", 1, 4, 3.0));
-    routes.add(route("r-check", "/check/", 2, 2, 3.0));
-    Map<String, Object> service = new LinkedHashMap<>();
-    service.put("name", SERVICE);
-    service.put("health_path", "/health");
-    service.put("enforces_capacity", false);
+    String usualService = usual ? SERVICE : checkService;
+    routes.add(route("r-proof", "/proof/", usualService, 0, 4, 1.5));
+    routes.add(route("r-print", "/print/", usualService, 1, 4, 3.0));
+    routes.add(route("r-check", "/check/", checkService, 2, 2, 3.0));
+    List<Object> services = new ArrayList<>();
+    if (usual) {
+      services.add(service(SERVICE));
+    }
+    if (!checkService.equals(SERVICE)) {
+      services.add(service(checkService));
+    }
     Map<String, Object> tenant = new LinkedHashMap<>();
     tenant.put("name", "atelier");
     tenant.put("api_keys", List.of(KEY));
     tenant.put("guaranteed", Map.of("gpu", 16));
     Map<String, Object> config = new LinkedHashMap<>();
-    config.put("version", 7);
+    config.put("version", version);
     config.put("routes", routes);
-    config.put("services", List.of(service));
+    config.put("services", services);
     config.put("tenants", List.of(tenant));
     store.put("keyed.op", "config", Json.write(config));
   }
 
+  private static Map<String, Object> service(String name) {
+    Map<String, Object> service = new LinkedHashMap<>();
+    service.put("name", name);
+    service.put("health_path", "/health");
+    service.put("enforces_capacity", false);
+    return service;
+  }
+
   private static Map<String, Object> route(
-      String name, String prefix, int priority, int attempts, double stretch) {
+      String name, String prefix, String service, int priority, int attempts, double stretch) {
     Map<String, Object> route = new LinkedHashMap<>();
     route.put("name", name);
     route.put("host", HOST);
@@ -94,7 +121,7 @@
     route.put("timeout_ms", 3000);
     route.put("slo_ms", 3000);
     route.put("priority", priority);
-    route.put("service", SERVICE);
+    route.put("service", service);
     route.put("max_attempts", attempts);
     route.put("stretch", stretch);
     route.put("public", false);
--- a/review/standin-3/lab3/Worker.java
+++ b/review/standin-3/lab3/Worker.java
@@ -46,6 +46,7 @@
   }
 
   final String name;
+  private final String service;
   private final String kind;
   private final String rack;
   private final String zone;
@@ -66,9 +67,17 @@
   private final List<List<Object>> ended = new ArrayList<>();
 
   Worker(
-      String name, String kind, String rack, String zone, Store store, Record record, Script script)
+      String name,
+      String service,
+      String kind,
+      String rack,
+      String zone,
+      Store store,
+      Record record,
+      Script script)
       throws IOException {
     this.name = name;
+    this.service = service;
     this.kind = kind;
     this.rack = rack;
     this.zone = zone;
@@ -162,7 +171,7 @@
     capacity.put("mem_mb", MEMORY_MB);
     capacity.put("gpu", ACCELERATORS);
     Map<String, Object> entry = new LinkedHashMap<>();
-    entry.put("service", Deployment.SERVICE);
+    entry.put("service", service);
     entry.put("address", "127.0.0.1:" + port);
     entry.put("zone", zone);
     entry.put("version", "v1");
