--- a/review/standin-3/lab3/Store.java
+++ b/review/standin-3/lab3/Store.java
@@ -17,6 +17,8 @@
 /** The platform's store: keyed topics with one partition, fences and conditional appends. */
 final class Store {
   private static final int APPEND_MILLIS = 4;
+  private static final int RECORD_BYTES = 262_144;
+  private static final int CALL_BYTES = 2_097_152;
 
   private static final class Topic {
     final List<byte[]> records = new ArrayList<>();
@@ -28,12 +30,17 @@
   private final Map<String, Topic> topics = new LinkedHashMap<>();
   private HttpServer server;
   private int port;
+  private int largestRefused;
 
   void start() throws IOException {
     port = Http.freePort();
     server = Http.serve(port, this::handle);
   }
 
+  synchronized int largestRefused() {
+    return largestRefused;
+  }
+
   int port() {
     return port;
   }
@@ -119,6 +126,14 @@
     if (at != null && Long.parseLong(at) != end) {
       return Http.Answer.of(412, "{\"end\":" + end + "}");
     }
+    for (ByteBuffer body = ByteBuffer.wrap(call.body()); body.hasRemaining(); ) {
+      int length = body.getInt();
+      if (length > RECORD_BYTES || call.body().length > CALL_BYTES) {
+        largestRefused = Math.max(largestRefused, length);
+        return Http.Answer.of(400, "{}");
+      }
+      body.position(body.position() + length);
+    }
     ByteBuffer body = ByteBuffer.wrap(call.body());
     while (body.hasRemaining()) {
       byte[] content = new byte[body.getInt()];
--- a/review/standin-3/lab3/Worker.java
+++ b/review/standin-3/lab3/Worker.java
@@ -22,7 +22,11 @@
   private static final AtomicInteger LIVES = new AtomicInteger();
 
   /** How a run goes: its length in milliseconds (none for one that lasts) and its end. */
-  record Course(long millis, String how) {
+  record Course(long millis, String how, String checkpoint) {
+    Course(long millis, String how) {
+      this(millis, how, "");
+    }
+
     static final long LASTING = Long.MAX_VALUE / 4;
   }
 
@@ -54,6 +58,7 @@
   private final Record record;
   private final Script script;
   private final int port;
+  private volatile boolean quiet;
   private HttpServer server;
   private String id;
   private long bornMillis;
@@ -87,6 +92,17 @@
     port = Http.freePort();
   }
 
+  /** Leaves its starts and ends out of the record. */
+  void beQuiet() {
+    quiet = true;
+  }
+
+  private void log(String format, Object... arguments) {
+    if (!quiet) {
+      record.add(format, arguments);
+    }
+  }
+
   synchronized boolean isUp() {
     return server != null;
   }
@@ -204,8 +220,10 @@
   private void end(Run run, String how) {
     running.remove(run.task);
     passed.merge(run.task, run.number, Math::max);
-    ended.add(List.of(++lastEnd, run.task, run.number, how, ""));
-    record.add("worker %s: run %d of %s ends %s", name, run.number, run.task, how);
+    ended.add(
+        List.of(
+            ++lastEnd, run.task, run.number, how, how.equals("done") ? "" : run.course.checkpoint()));
+    log("worker %s: run %d of %s ends %s", name, run.number, run.task, how);
     notifyAll();
   }
 
@@ -264,7 +282,7 @@
       return refuse("old");
     }
     Course course = script.start(this, task, number, (String) body.get("spec"));
-    record.add("worker %s starts run %d of %s (fence %d)", name, number, task, fence);
+    log("worker %s starts run %d of %s (fence %d)", name, number, task, fence);
     running.put(task, new Run(task, number, clockMillis(), course));
     return done();
   }
