--- a/review/standin-3/lab3/Store.java
+++ b/review/standin-3/lab3/Store.java
@@ -31,12 +31,29 @@
   private HttpServer server;
   private int port;
   private int largestRefused;
+  private String delayedTopic;
+  private long delayMillis;
 
   void start() throws IOException {
     port = Http.freePort();
     server = Http.serve(port, this::handle);
   }
 
+  /** Leaves the next append to a topic unanswered and carries it out later. */
+  synchronized void delayNextAppend(String topic, long millis) {
+    delayedTopic = topic;
+    delayMillis = millis;
+  }
+
+  /** Returns the delay of an append that is to be carried out late, or 0. */
+  private synchronized long takeDelay(String topic) {
+    if (!topic.equals(delayedTopic)) {
+      return 0;
+    }
+    delayedTopic = null;
+    return delayMillis;
+  }
+
   synchronized int largestRefused() {
     return largestRefused;
   }
@@ -84,7 +101,13 @@
   }
 
   private Http.Answer append(Http.Call call) throws InterruptedException {
-    Thread.sleep(APPEND_MILLIS);
+    long late = takeDelay(call.query().get("topic"));
+    Thread.sleep(APPEND_MILLIS + late);
+    Http.Answer answer = appendNow(call);
+    return late > 0 ? null : answer;
+  }
+
+  private Http.Answer appendNow(Http.Call call) {
     synchronized (this) {
       Topic topic = topic(call.query().get("topic"));
       String producer = call.query().get("producer");
