--- a/review/standin-3/lab3/Deployment.java
+++ b/review/standin-3/lab3/Deployment.java
@@ -20,6 +20,7 @@
   static final String OTHER_SERVICE = "gabarit-neuf";
   static final String HOST = "nony24.example";
   static final String KEY = "key-atelier-1";
+  static final String OTHER_KEY = "key-presse-1";
   private static final String[] ZONES = {"quimper-a", "paris-nord", "lyon-est"};
 
   /** One of the system's processes. */
@@ -91,18 +92,23 @@
     if (!checkService.equals(SERVICE)) {
       services.add(service(checkService));
     }
-    Map<String, Object> tenant = new LinkedHashMap<>();
-    tenant.put("name", "atelier");
-    tenant.put("api_keys", List.of(KEY));
-    tenant.put("guaranteed", Map.of("gpu", 16));
+    List<Object> tenants = List.of(tenant("atelier", KEY, 16), tenant("presse", OTHER_KEY, 0));
     Map<String, Object> config = new LinkedHashMap<>();
     config.put("version", version);
     config.put("routes", routes);
     config.put("services", services);
-    config.put("tenants", List.of(tenant));
+    config.put("tenants", tenants);
     store.put("keyed.op", "config", Json.write(config));
   }
 
+  private static Map<String, Object> tenant(String name, String key, int accelerators) {
+    Map<String, Object> tenant = new LinkedHashMap<>();
+    tenant.put("name", name);
+    tenant.put("api_keys", List.of(key));
+    tenant.put("guaranteed", Map.of("gpu", accelerators));
+    return tenant;
+  }
+
   private static Map<String, Object> service(String name) {
     Map<String, Object> service = new LinkedHashMap<>();
     service.put("name", name);
@@ -214,9 +220,13 @@
 
   /** Submits a job, as clients do: with the same id again at another machine without an answer. */
   boolean submit(String prefix, String job, String body) {
+    return submit(KEY, prefix, job, body);
+  }
+
+  boolean submit(String key, String prefix, String job, String body) {
     for (int attempt = 0; attempt < 4; attempt++) {
       Edge edge = edges.get(attempt % edges.size());
-      Http.Answer answer = Http.call(edge.front, "POST", prefix + job, HOST, KEY, body);
+      Http.Answer answer = Http.call(edge.front, "POST", prefix + job, HOST, key, body);
       record.add("POST %s%s at %s: %d", prefix, job, edge.name, answer.status());
       if (answer.status() == 200) {
         return true;
--- a/review/standin-3/lab3/ExcludedWorkers.java
+++ b/review/standin-3/lab3/ExcludedWorkers.java
@@ -2,7 +2,7 @@
 
 import java.nio.file.Path;
 
-/** Case 12: a job waits for ever, since its tasks have failed once on each worker that may run it. */
+/** Case 14: a job waits for ever, since its tasks have failed once on each worker that may run it. */
 final class ExcludedWorkers {
   private static final String PREFIX = "/print/";
   private static final String JOB = "5c0e7a21d94b3612";
--- a/review/standin-3/lab3/Worker.java
+++ b/review/standin-3/lab3/Worker.java
@@ -30,7 +30,7 @@
     static final long LASTING = Long.MAX_VALUE / 4;
   }
 
-  /** Decides on the course of a run that starts. */
+  /** Decides on the course of a run that starts; null if the worker refuses it with 503. */
   interface Script {
     Course start(Worker worker, String task, int run, String spec);
   }
@@ -282,6 +282,10 @@
       return refuse("old");
     }
     Course course = script.start(this, task, number, (String) body.get("spec"));
+    if (course == null) {
+      record.add("worker %s refuses run %d of %s with 503", name, number, task);
+      return Http.Answer.of(503, "{}");
+    }
     log("worker %s starts run %d of %s (fence %d)", name, number, task, fence);
     running.put(task, new Run(task, number, clockMillis(), course));
     return done();
