--- a/review/standin-3/lab3/Http.java
+++ b/review/standin-3/lab3/Http.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -12,12 +13,19 @@
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** HTTP servers of the stand-ins, and the clients' calls. */
 final class Http {
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 32_000;
+  private static final Set<Integer> GIVEN_PORTS = new HashSet<>();
+
   static final ExecutorService THREADS =
       Executors.newCachedThreadPool(
           task -> {
@@ -49,9 +57,18 @@
     Answer handle(Call call) throws Exception;
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+  /** Returns a free port below those that the system gives to outgoing connections. */
+  static synchronized int freePort() throws IOException {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      if (!GIVEN_PORTS.add(port)) {
+        continue;
+      }
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return port;
+      } catch (BindException e) {
+        // Another program listens on it.
+      }
     }
   }
 
