--- a/review/standin-3/lab3/Deployment.java
+++ b/review/standin-3/lab3/Deployment.java
@@ -92,7 +92,7 @@
     if (!checkService.equals(SERVICE)) {
       services.add(service(checkService));
     }
-    List<Object> tenants = List.of(tenant("atelier", KEY, 16), tenant("presse", OTHER_KEY, 0));
+    List<Object> tenants = List.of(tenant("atelier", KEY, 96), tenant("presse", OTHER_KEY, 0));
     Map<String, Object> config = new LinkedHashMap<>();
     config.put("version", version);
     config.put("routes", routes);
--- a/review/standin-3/lab3/LastingGang.java
+++ b/review/standin-3/lab3/LastingGang.java
@@ -2,7 +2,7 @@
 
 import java.nio.file.Path;
 
-/** Case 15: a lasting gang whose run ends done is taken for completed and never started again. */
+/** No case: a lasting gang whose run ends done is taken for completed and never started again. */
 final class LastingGang {
   private static final String PREFIX = "/print/";
   private static final String JOB = "5c0e7a21d94b3641";
--- a/review/standin-3/lab3/LastingJob.java
+++ b/review/standin-3/lab3/LastingJob.java
@@ -2,7 +2,7 @@
 
 import java.nio.file.Path;
 
-/** Case 12: a job that lasts is given up after three crashes of its workers. */
+/** Case 15: a job that lasts is given up after three crashes of its workers. */
 final class LastingJob {
   private static final String PREFIX = "/print/";
   private static final String JOB = "5c0e7a21d94b3611";
--- a/review/standin-3/lab3/Reclaim.java
+++ b/review/standin-3/lab3/Reclaim.java
@@ -2,7 +2,7 @@
 
 import java.nio.file.Path;
 
-/** Case 11: a guaranteed tenant gets nothing while lasting tasks of another tenant hold all accelerators. */
+/** Case 12: a guaranteed tenant gets nothing while lasting tasks of another tenant hold all accelerators. */
 final class Reclaim {
   private static final String LASTING = "5c0e7a21d94b3631";
   private static final String URGENT = "5c0e7a21d94b3632";
@@ -47,7 +47,7 @@
     String urgent =
         "{\"spec\":\"proof 9\",\"steps\":[{\"count\":2,\"cpu\":15000,\"mem_mb\":44000,\"gpu\":4,"
             + "\"estimate_ms\":2500}]}";
-    record.add("tenant atelier, with 16 accelerators guaranteed, asks for 8 of 128 at priority 0");
+    record.add("tenant atelier, with 96 accelerators guaranteed, asks for 8 of 128 at priority 0");
     if (!deployment.submit("/proof/", URGENT, urgent)) {
       record.add("could not run: the urgent job was not accepted");
       return 2;
