--- a/review/standin-3/lab3/Deployment.java
+++ b/review/standin-3/lab3/Deployment.java
@@ -55,8 +55,8 @@
   }
 
   /**
-   * Adds what a site with the contract "places" has: data centres may be closed, and queues name the
-   * regions in which their jobs may run. To be called before the processes start.
+   * Adds what a site with the contract "places" has: data centres may be closed, and queues name
+   * the regions in which their jobs may run. To be called before the processes start.
    */
   void setPlaces(List<String> regions) {
     places = true;
--- a/review/standin-3/lab3/LargeJob.java
+++ b/review/standin-3/lab3/LargeJob.java
@@ -1,9 +1,11 @@
 package lab3;
 
+import java.math.BigInteger;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** No case: the progress of a large job outgrows a record of the store, and all jobs stand still. */
+/** No case: the progress of a large job outgrows a record of the store; all jobs stand still. */
 final class LargeJob {
   private static final String PREFIX = "/print/";
   private static final String LARGE = "5c0e7a21d94b3614";
@@ -52,7 +54,9 @@
     }
     for (int i = 0; i < 20; i++) {
       Worker.pause(1_000);
-      record.add("%d starts so far; bytes of the largest record refused: %d", starts.get(), deployment.store.largestRefused());
+      record.add(
+          "%d starts so far; bytes of the largest record refused: %d",
+          starts.get(), deployment.store.largestRefused());
     }
     String body =
         "{\"spec\":\"proof\",\"steps\":[{\"count\":2,\"cpu\":15000,\"mem_mb\":44000,\"gpu\":1,"
@@ -60,7 +64,8 @@
     boolean accepted = deployment.submit("/proof/", SMALL, body);
     String state = deployment.awaitState("/proof/", SMALL, 30_000, "completed");
     String largeState = deployment.state(PREFIX, LARGE);
-    record.add("at the end: small job %s, large job %s, %d starts", state, largeState, starts.get());
+    record.add(
+        "at the end: small job %s, large job %s, %d starts", state, largeState, starts.get());
     if (accepted && !state.equals("completed")) {
       record.add("RULE BROKEN (LOST): an accepted job of two tasks does not run on idle workers");
       return 1;
@@ -71,6 +76,7 @@
 
   /** A checkpoint of 128 characters. */
   private static String checkpoint(String task) {
-    return String.format("%0128x", new java.math.BigInteger(1, task.getBytes(java.nio.charset.StandardCharsets.US_ASCII))).substring(0, 128);
+    byte[] name = task.getBytes(StandardCharsets.US_ASCII);
+    return String.format("%0128x", new BigInteger(1, name));
   }
 }
--- a/review/standin-3/lab3/ReclaimNearData.java
+++ b/review/standin-3/lab3/ReclaimNearData.java
@@ -2,7 +2,7 @@
 
 import java.nio.file.Path;
 
-/** Case 12: a guaranteed step wider than the rack of its data gets nothing while others hold the workers. */
+/** Case 12: a guaranteed step that is wider than the rack of its data reclaims nothing. */
 final class ReclaimNearData {
   private static final String BULK = "5c0e7a21d94b3661";
   private static final String URGENT = "5c0e7a21d94b3662";
--- a/review/standin-3/lab3/Reserve.java
+++ b/review/standin-3/lab3/Reserve.java
@@ -2,7 +2,10 @@
 
 import java.nio.file.Path;
 
-/** Case 15: a lasting task is not started again while capacity is set aside for urgent work that is over. */
+/**
+ * Case 15: a lasting task is not started again while capacity is set aside for urgent work that is
+ * over.
+ */
 final class Reserve {
   private static final String BULK = "5c0e7a21d94b3651";
   private static final String LASTING = "5c0e7a21d94b3652";
@@ -64,7 +67,9 @@
         idleSince = idle ? (idleSince < 0 ? now : idleSince) : -1;
         longestIdle = idle ? Math.max(longestIdle, now - idleSince) : longestIdle;
       }
-      record.add("longest time with room and nothing running, 6 s after the last run: %.1f s", longestIdle);
+      record.add(
+          "longest time with room and nothing running, 6 s after the last run: %.1f s",
+          longestIdle);
     }
     if (longestIdle >= 3) {
       record.add("RULE BROKEN (LOST): a lasting task does not run for 3 s with room twice over");
--- a/review/standin-3/lab3/Worker.java
+++ b/review/standin-3/lab3/Worker.java
@@ -222,7 +222,11 @@
     passed.merge(run.task, run.number, Math::max);
     ended.add(
         List.of(
-            ++lastEnd, run.task, run.number, how, how.equals("done") ? "" : run.course.checkpoint()));
+            ++lastEnd,
+            run.task,
+            run.number,
+            how,
+            how.equals("done") ? "" : run.course.checkpoint()));
     log("worker %s: run %d of %s ends %s", name, run.number, run.task, how);
     notifyAll();
   }
