Store the cancellation of a job that is not on the log

Cause: the append of the submission was done six seconds late. JobRequests.cancel read the log, did not find the job and answered 410 without storing anything. The readers would have honoured a cancellation that precedes its submission; none was written.

The store had no record under cancel/ID, so a cancellation that was stored and ignored is ruled out.

Why it works: a DELETE of an unknown job is acknowledged only once its cancellation is on the log, where every planner reads it, before or after the submission. Submissions contain the offset at which they were prepared and are invalid 10,000 records later, so that these cancellations can be removed without a late submission coming to life. Their number is bounded by 20,000.

Related: a VM no longer answers "never runs" to the repeat of a job that it has itself tried to store without an answer.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobEntry.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobEntry.java
@@ -53,6 +53,11 @@
     cancelled = true;
   }
 
+  /** Records that the cancellation was removed from the log, before the job was submitted. */
+  void unmarkCancelled() {
+    cancelled = false;
+  }
+
   /** Returns the newest progress record of the job, null if none was read. */
   byte[] progress() {
     return progress;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobRequests.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobRequests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.peridotroute.scheduler.load.AdmissionPolicy;
 import org.peridotroute.scheduler.load.LoadHistory;
@@ -16,8 +17,8 @@
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.port.Events;
-import org.peridotroute.scheduler.port.KeyedRecord;
 import org.peridotroute.scheduler.port.Time;
+import org.peridotroute.scheduler.table.PreparedSubmission;
 import org.peridotroute.scheduler.table.RequestCodec;
 
 /**
@@ -28,8 +29,19 @@
   /** Callbacks to the VM on the control thread. */
   record Callbacks(Consumer<Submission> onSubmitted, Consumer<JobId> onCancelled) {}
 
-  /** What this VM knows of its state. Read by any thread. */
-  record VmState(BooleanSupplier logUnreachable, Supplier<Configuration> configuration) {}
+  /**
+   * What this VM knows of its state.
+   *
+   * @param logUnreachable whether the log is out of reach; read by any thread
+   * @param configuration the configuration in force; read by any thread
+   * @param readOffset offset up to which the VM has read the requests; control thread
+   * @param mayCancelUnknown whether a cancellation of an unknown job can be kept; any thread
+   */
+  record VmState(
+      BooleanSupplier logUnreachable,
+      Supplier<Configuration> configuration,
+      LongSupplier readOffset,
+      BooleanSupplier mayCancelUnknown) {}
 
   private final Map<JobId, JobEntry> entries;
   private final RequestWriter writer;
@@ -76,7 +88,7 @@
       return completed(SubmitResult.of(RequestOutcome.DONE));
     }
     if (state.logUnreachable().getAsBoolean()) {
-      return completed(SubmitResult.of(RequestOutcome.NOT_DONE));
+      return completed(SubmitResult.of(notStored(submission.id())));
     }
     long deadlineMillis = deadlineMillis(waitMillis);
     Optional<AdmissionPolicy.Refusal> refusal = decide(submission);
@@ -127,24 +139,47 @@
 
   private CompletableFuture<SubmitResult> storeSubmission(
       Submission submission, long deadlineMillis) {
-    return store(
-            RequestCodec.writeSubmission(submission),
-            () -> callbacks.onSubmitted().accept(submission),
-            deadlineMillis)
-        .thenApply(
-            outcome -> {
-              if (outcome == RequestOutcome.UNKNOWN) {
-                uncertain.add(submission.id());
-              }
-              return SubmitResult.of(outcome);
-            });
+    CompletableFuture<RequestOutcome> result = new CompletableFuture<>();
+    control.execute(
+        () -> {
+          PreparedSubmission prepared =
+              new PreparedSubmission(submission, state.readOffset().getAsLong());
+          writer.store(
+              RequestCodec.writeSubmission(prepared),
+              offset -> onStored(prepared, offset),
+              deadlineMillis,
+              result);
+        });
+    return result.thenApply(outcome -> SubmitResult.of(resolve(submission.id(), outcome)));
   }
 
-  private CompletableFuture<RequestOutcome> store(
-      KeyedRecord record, Runnable onStored, long deadlineMillis) {
-    CompletableFuture<RequestOutcome> result = new CompletableFuture<>();
-    control.execute(() -> writer.store(record, onStored, deadlineMillis, result));
-    return result;
+  private RequestOutcome onStored(PreparedSubmission prepared, long offset) {
+    if (prepared.isTooLate(offset)) {
+      return RequestOutcome.NOT_DONE;
+    }
+    callbacks.onSubmitted().accept(prepared.submission());
+    return RequestOutcome.DONE;
+  }
+
+  /** Keeps track of the jobs whose storing is uncertain, and returns the outcome for the caller. */
+  private RequestOutcome resolve(JobId id, RequestOutcome outcome) {
+    return switch (outcome) {
+      case UNKNOWN -> {
+        uncertain.add(id);
+        yield outcome;
+      }
+      case DONE -> {
+        uncertain.remove(id);
+        yield outcome;
+      }
+      case NOT_DONE -> notStored(id);
+      default -> outcome;
+    };
+  }
+
+  /** Returns the outcome of an attempt that stored nothing. An earlier one may still be stored. */
+  private RequestOutcome notStored(JobId id) {
+    return uncertain.contains(id) ? RequestOutcome.UNKNOWN : RequestOutcome.NOT_DONE;
   }
 
   CompletableFuture<RequestOutcome> cancel(JobId id, long waitMillis) {
@@ -152,19 +187,49 @@
     return find(id)
         .thenCompose(
             outcome ->
-                outcome == RequestOutcome.DONE
-                    ? cancelKnown(id, deadlineMillis)
-                    : completed(outcome));
+                switch (outcome) {
+                  case DONE -> cancelKnown(id, deadlineMillis);
+                  case NO_SUCH_JOB -> cancelUnknown(id, deadlineMillis);
+                  default -> completed(outcome);
+                });
   }
 
   private CompletableFuture<RequestOutcome> cancelKnown(JobId id, long deadlineMillis) {
     if (entries.get(id).visiblePhase().isEnded()) {
       return completed(RequestOutcome.DONE);
     }
-    return store(
-        RequestCodec.writeCancellation(id),
-        () -> callbacks.onCancelled().accept(id),
-        deadlineMillis);
+    return storeCancellation(id, deadlineMillis);
+  }
+
+  /**
+   * Cancels a job that is not on the log. Its submission may be stored yet, so that only a stored
+   * cancellation keeps it from running.
+   */
+  private CompletableFuture<RequestOutcome> cancelUnknown(JobId id, long deadlineMillis) {
+    if (!state.mayCancelUnknown().getAsBoolean()) {
+      return completed(RequestOutcome.NOT_DONE);
+    }
+    return storeCancellation(id, deadlineMillis)
+        .thenApply(
+            outcome ->
+                outcome == RequestOutcome.DONE && !isKnown(id)
+                    ? RequestOutcome.NO_SUCH_JOB
+                    : outcome);
+  }
+
+  private CompletableFuture<RequestOutcome> storeCancellation(JobId id, long deadlineMillis) {
+    CompletableFuture<RequestOutcome> result = new CompletableFuture<>();
+    control.execute(
+        () ->
+            writer.store(
+                RequestCodec.writeCancellation(id),
+                offset -> {
+                  callbacks.onCancelled().accept(id);
+                  return RequestOutcome.DONE;
+                },
+                deadlineMillis,
+                result));
+    return result;
   }
 
   CompletableFuture<RequestOutcome> find(JobId id) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/RequestWriter.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/RequestWriter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.LongFunction;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.KeyedLog;
 import org.peridotroute.scheduler.port.KeyedLog.AppendOutcome;
@@ -33,13 +34,13 @@
   /** A request that waits to be stored. */
   private static final class Pending {
     private final KeyedRecord record;
-    private final Runnable onStored;
+    private final LongFunction<RequestOutcome> onStored;
     private final long deadlineMillis;
     private final CompletableFuture<RequestOutcome> result;
 
     Pending(
         KeyedRecord record,
-        Runnable onStored,
+        LongFunction<RequestOutcome> onStored,
         long deadlineMillis,
         CompletableFuture<RequestOutcome> result) {
       this.result = result;
@@ -70,13 +71,14 @@
    * Stores a request, or rejects it at once if the log has been failing for too long.
    *
    * @param record record of the request
-   * @param onStored run once the record is stored, before the caller gets a response
+   * @param onStored called with the offset of the record once it is stored, before the caller gets
+   *     a response; returns the outcome
    * @param deadlineMillis steady time until which the caller waits
    * @param result completed with the outcome
    */
   void store(
       KeyedRecord record,
-      Runnable onStored,
+      LongFunction<RequestOutcome> onStored,
       long deadlineMillis,
       CompletableFuture<RequestOutcome> result) {
     if (isRejecting()) {
@@ -154,9 +156,9 @@
     if (reply.outcome() == AppendOutcome.APPENDED) {
       failingSinceMillis = -1;
       queue.removeAll(batch);
+      long offset = reply.firstOffset();
       for (Pending pending : batch) {
-        pending.onStored.run();
-        pending.result.complete(RequestOutcome.DONE);
+        pending.result.complete(pending.onStored.apply(offset++));
       }
       return;
     }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
@@ -25,6 +26,7 @@
 import org.peridotroute.scheduler.port.Time;
 import org.peridotroute.scheduler.port.Topic;
 import org.peridotroute.scheduler.table.Job;
+import org.peridotroute.scheduler.table.PreparedSubmission;
 import org.peridotroute.scheduler.table.ProgressCodec;
 import org.peridotroute.scheduler.table.RequestCodec;
 
@@ -73,6 +75,7 @@
   private final Map<JobId, JobEntry> entries = new ConcurrentHashMap<>();
   private final StoredWorkers storedWorkers = new StoredWorkers();
   private final RequestWriter writer;
+  private final EarlyCancellations earlyCancellations;
   private final TopicFollower requests;
   private final TopicFollower progress;
   private final TopicFollower configurations;
@@ -104,6 +107,7 @@
     events = ports.events();
     control = ports.control();
     writer = new RequestWriter(log, control, time, events);
+    earlyCancellations = new EarlyCancellations(log, control, time, events);
     operatorRecords = new OperatorRecords(decoder, events, this::onConfiguration);
     long wait = settings.readWaitMillis();
     requests =
@@ -146,7 +150,11 @@
         settings.dispatch().policy().has(Feature.ADMISSION) ? new RefuseUseless() : new AcceptAll(),
         loadHistory,
         new JobRequests.Callbacks(this::onSubmission, this::onCancel),
-        new JobRequests.VmState(this::isLogUnreachable, this::configuration),
+        new JobRequests.VmState(
+            this::isLogUnreachable,
+            this::configuration,
+            requests::deliveredOffset,
+            earlyCancellations::hasRoom),
         control,
         time,
         events,
@@ -200,6 +208,9 @@
       dispatcher.setWorkersCurrentAsOf(workers.currentAsOfMillis());
       dispatcher.setClosures(operatorRecords.closures(configurations.currentAsOfMillis()));
       dispatcher.tick();
+      if (requests.isLoaded()) {
+        earlyCancellations.removeExpired(requests.nextOffset());
+      }
     } else if (canPlan() && progress.isLoaded()) {
       role.claimIfVacant(progress.nextOffset(), this::onElected);
     }
@@ -293,7 +304,11 @@
 
   private void onSubmission(Submission submission) {
     JobEntry entry = entry(submission.id());
-    if (entry.trySetSubmission(submission) && dispatcher != null) {
+    if (!entry.trySetSubmission(submission)) {
+      return;
+    }
+    earlyCancellations.remove(submission.id());
+    if (dispatcher != null) {
       addToDispatcher(entry);
     }
   }
@@ -334,27 +349,85 @@
       writer.onLogReply(sentMillis);
     }
 
+    @Override
+    public void onLoaded(Set<String> keys) {
+      earlyCancellations.idsWithout(keys).forEach(this::forgetCancellation);
+    }
+
     @Override
     public void onRecord(KeyedRecord record) {
-      if (record.value() == null) {
-        return;
-      }
       Optional<JobId> cancelled = RequestCodec.cancelledJob(record);
       if (cancelled.isPresent()) {
-        onCancel(cancelled.get());
+        onCancellationRecord(cancelled.get(), record);
         return;
       }
       Optional<JobId> submitted = RequestCodec.submittedJob(record);
-      if (submitted.isEmpty() || isKnown(submitted.get())) {
+      if (submitted.isEmpty() || record.value() == null) {
         return;
       }
       try {
-        onSubmission(RequestCodec.readSubmission(record));
+        onSubmissionRecord(submitted.get(), record);
       } catch (RecordFormatException e) {
         events.warn("request-unreadable", "key", record.key(), "reason", e.getMessage());
       }
     }
 
+    private void onCancellationRecord(JobId id, KeyedRecord record) {
+      if (record.value() == null) {
+        forgetCancellation(id);
+        return;
+      }
+      onCancel(id);
+      if (!isKnown(id)) {
+        earlyCancellations.add(id, record.offset());
+      }
+    }
+
+    private void forgetCancellation(JobId id) {
+      earlyCancellations.remove(id);
+      JobEntry entry = entries.get(id);
+      if (entry == null) {
+        return;
+      }
+      entry.unmarkCancelled();
+      if (entry.submission() == null && entry.progress() == null) {
+        entries.remove(id);
+      }
+    }
+
+    private void onSubmissionRecord(JobId id, KeyedRecord record) throws RecordFormatException {
+      boolean known = isKnown(id);
+      if (known && dispatcher == null) {
+        return;
+      }
+      PreparedSubmission prepared = RequestCodec.readSubmission(record);
+      if (!prepared.isTooLate(record.offset())) {
+        onSubmission(prepared.submission());
+        return;
+      }
+      events.warn(
+          "submission-too-late",
+          "job",
+          id,
+          "offset",
+          record.offset(),
+          "preparedAtOffset",
+          prepared.preparedAtOffset());
+      if (known) {
+        restoreSubmission(id);
+      }
+    }
+
+    /** Stores an accepted submission again whose record an invalid one of the same job replaced. */
+    private void restoreSubmission(JobId id) {
+      writer.store(
+          RequestCodec.writeSubmission(
+              new PreparedSubmission(entries.get(id).submission(), requests.deliveredOffset())),
+          offset -> RequestOutcome.DONE,
+          time.steadyMillis() + settings.requestTimeoutMillis(),
+          new CompletableFuture<>());
+    }
+
     private boolean isKnown(JobId id) {
       JobEntry entry = entries.get(id);
       return entry != null && entry.submission() != null;
@@ -493,7 +566,8 @@
   /** Returns a one-line summary of this VM's state, for the dump. Control thread. */
   public String describe() {
     Dispatcher current = dispatcher;
-    return "vm=%s planning=%s jobs=%d open=%d workers=%s backlog=%d configuration=%d closed=%s"
+    return ("vm=%s planning=%s jobs=%d open=%d workers=%s backlog=%d configuration=%d closed=%s"
+            + " earlyCancellations=%d")
         .formatted(
             settings.vm(),
             current != null,
@@ -502,6 +576,7 @@
             current == null ? "-1" : current.describeWorkers(),
             current == null ? -1 : current.journalBacklog(),
             configuration() == null ? -1 : configuration().version(),
-            operatorRecords.closures(configurations.currentAsOfMillis()).dataCentres());
+            operatorRecords.closures(configurations.currentAsOfMillis()).dataCentres(),
+            earlyCancellations.size());
   }
 }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/TopicFollower.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/TopicFollower.java
@@ -54,6 +54,7 @@
   private final long waitMillis;
   private long readIntervalMillis;
   private long nextOffset = -1;
+  private long deliveredOffset;
   private boolean inFlight;
   private boolean available = true;
   private long lastReplyMillis = Long.MIN_VALUE;
@@ -128,6 +129,14 @@
     return nextOffset;
   }
 
+  /**
+   * Returns an offset before which every record has been delivered or replaced by a delivered one.
+   * Unlike {@link #nextOffset} it stays known while the topic is loaded again; 0 before the load.
+   */
+  long deliveredOffset() {
+    return deliveredOffset;
+  }
+
   /**
    * Returns the steady time up to which everything stored has been read, {@code Long.MIN_VALUE}
    * before the first load.
@@ -211,6 +220,7 @@
     }
     if (!page.hasMore()) {
       nextOffset = loadEndOffset;
+      deliveredOffset = Math.max(deliveredOffset, nextOffset);
       currentAsOfMillis = loadSentMillis;
       events.info("topic-loaded", "topic", topic, "keys", loadedKeys.size(), "end", loadEndOffset);
       listener.onLoaded(loadedKeys);
@@ -247,6 +257,7 @@
       nextOffset = record.offset() + 1;
       handle(record);
     }
+    deliveredOffset = Math.max(deliveredOffset, nextOffset);
     if (nextOffset >= reply.endOffset()) {
       currentAsOfMillis = Math.max(currentAsOfMillis, sentMillis);
     }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
@@ -8,7 +8,6 @@
 import org.peridotroute.json.JsonValue;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.ProposedJob;
-import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.port.KeyedRecord;
 
 /**
@@ -18,6 +17,7 @@
 public final class RequestCodec {
   private static final String SUBMISSION_PREFIX = "job/";
   private static final String CANCEL_PREFIX = "cancel/";
+  private static final String PREPARED_AT_FIELD = "preparedAtOffset";
   private static final byte[] CANCEL_VALUE = "{}".getBytes(StandardCharsets.UTF_8);
 
   private RequestCodec() {}
@@ -25,13 +25,19 @@
   /**
    * Encodes a submission.
    *
-   * @param submission the submission
+   * @param prepared the submission
    * @return its record
    */
-  public static KeyedRecord writeSubmission(Submission submission) {
+  public static KeyedRecord writeSubmission(PreparedSubmission prepared) {
     return KeyedRecord.of(
-        SUBMISSION_PREFIX + submission.id(),
-        JsonText.object(text -> SubmissionJson.write(text, submission)));
+        SUBMISSION_PREFIX + prepared.submission().id(),
+        JsonText.object(
+            text -> {
+              SubmissionJson.write(text, prepared.submission());
+              if (prepared.preparedAtOffset() >= 0) {
+                text.number(PREPARED_AT_FIELD, prepared.preparedAtOffset());
+              }
+            }));
   }
 
   /**
@@ -45,7 +51,17 @@
   }
 
   /**
-   * Returns the job that a record cancels.
+   * Encodes the removal of a cancellation.
+   *
+   * @param job the job that was cancelled
+   * @return a record without a value
+   */
+  public static KeyedRecord removeCancellation(JobId job) {
+    return KeyedRecord.of(CANCEL_PREFIX + job, null);
+  }
+
+  /**
+   * Returns the job that a record cancels. A record without a value removes the cancellation.
    *
    * @param record a record
    * @return the job, or empty if the record is not a cancellation
@@ -92,9 +108,11 @@
    * @return the submission
    * @throws RecordFormatException if the record cannot be decoded
    */
-  public static Submission readSubmission(KeyedRecord record) throws RecordFormatException {
+  public static PreparedSubmission readSubmission(KeyedRecord record) throws RecordFormatException {
     try {
-      return SubmissionJson.read(JsonValue.parse(record.value()));
+      JsonValue value = JsonValue.parse(record.value());
+      return new PreparedSubmission(
+          SubmissionJson.read(value), value.get(PREPARED_AT_FIELD).number(-1));
     } catch (IOException | IllegalArgumentException e) {
       throw RecordFormatException.unreadable("requests", record.offset(), e.getMessage());
     }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -57,7 +57,9 @@
     /** Requests time out and have no effect. */
     SILENT,
     /** Requests take effect but time out; reads time out without a result. */
-    LOSES_ANSWERS
+    LOSES_ANSWERS,
+    /** Appends time out and take effect later; reads work. */
+    DELAYS_APPENDS
   }
 
   /** Time after which a closed data centre must get no more starts. */
@@ -88,6 +90,7 @@
   private final Set<JobId> cancelled = new HashSet<>();
   private final Events events;
   private boolean crashedWorkersKeepId;
+  private long appendDelayMillis = 6_000;
   private int incarnationCount;
   private int successorCount;
   private boolean retrying = true;
@@ -157,7 +160,8 @@
   private SchedulerVm newProcess(String name, Executor control) {
     Dispatcher.Ports ports =
         new Dispatcher.Ports(
-            new SimulatedLogClient(time, random, log, () -> vms.get(name).logFault),
+            new SimulatedLogClient(
+                time, random, log, () -> vms.get(name).logFault, () -> appendDelayMillis),
             workerGateway.from(name),
             control,
             time,
@@ -403,6 +407,16 @@
     vms.get(name).logFault = fault;
   }
 
+  /** Sets the time after which delayed appends take effect. */
+  public void setAppendDelayMillis(long value) {
+    appendDelayMillis = value;
+  }
+
+  /** Returns the number of keys that the log keeps in a topic. */
+  public int keptKeys(Topic topic) {
+    return log.newest(topic).size();
+  }
+
   /** Expires all log records so far; the newest record of each key stays readable. */
   public void expireHistory() {
     log.expireHistory();
@@ -485,6 +499,24 @@
                 });
   }
 
+  /** Cancels a job at one VM, without retries. */
+  public CompletableFuture<RequestOutcome> cancelAt(String name, JobId id) {
+    return vms.get(name)
+        .scheduler
+        .cancel(id, 2_000)
+        .thenApply(
+            outcome -> {
+              if (isAcknowledged(outcome)) {
+                oracle.onCancelled(id);
+              }
+              return outcome;
+            });
+  }
+
+  private static boolean isAcknowledged(RequestOutcome outcome) {
+    return outcome == RequestOutcome.DONE || outcome == RequestOutcome.NO_SUCH_JOB;
+  }
+
   /** Cancels a job at a random VM, and retries until the cancellation is acknowledged. */
   public void cancel(JobId id) {
     SimulatedVm vm = randomLiveVm();
@@ -493,13 +525,11 @@
       return;
     }
     var unused =
-        vm.scheduler
-            .cancel(id, 2_000)
+        cancelAt(vm.name, id)
             .thenAccept(
                 outcome -> {
-                  if (outcome == RequestOutcome.DONE) {
+                  if (isAcknowledged(outcome)) {
                     cancelled.add(id);
-                    oracle.onCancelled(id);
                   } else {
                     time.after(500, () -> cancel(id));
                   }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedLogClient.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedLogClient.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.peridotroute.scheduler.port.KeyedLog;
 import org.peridotroute.scheduler.port.KeyedRecord;
@@ -23,22 +24,36 @@
   private final Random random;
   private final LogModel log;
   private final Supplier<LogFault> fault;
+  private final LongSupplier appendDelayMillis;
+
+  /** Creates the connection of one VM whose appends are never delayed. */
+  public SimulatedLogClient(
+      VirtualTime time, Random random, LogModel log, Supplier<LogFault> fault) {
+    this(time, random, log, fault, () -> 0);
+  }
 
   /**
    * Creates the connection of one VM.
    *
    * @param log the log
    * @param fault fault of the log as this VM sees it
+   * @param appendDelayMillis time after which a delayed append takes effect
    */
   public SimulatedLogClient(
-      VirtualTime time, Random random, LogModel log, Supplier<LogFault> fault) {
+      VirtualTime time,
+      Random random,
+      LogModel log,
+      Supplier<LogFault> fault,
+      LongSupplier appendDelayMillis) {
     this.time = time;
     this.random = random;
     this.log = log;
     this.fault = fault;
+    this.appendDelayMillis = appendDelayMillis;
   }
 
-  private <T> CompletableFuture<T> call(Supplier<T> operation, T refused, T unknown) {
+  private <T> CompletableFuture<T> call(
+      Supplier<T> operation, boolean append, T refused, T unknown) {
     CompletableFuture<T> answer = new CompletableFuture<>();
     time.after(
         LATENCY_MILLIS + random.nextInt(JITTER_MILLIS),
@@ -50,6 +65,18 @@
               var unused = operation.get();
               time.after(TIMEOUT_MILLIS, () -> answer.complete(unknown));
             }
+            case DELAYS_APPENDS -> {
+              if (append) {
+                time.after(
+                    appendDelayMillis.getAsLong(),
+                    () -> {
+                      var unused = operation.get();
+                    });
+                time.after(TIMEOUT_MILLIS, () -> answer.complete(unknown));
+              } else {
+                answer.complete(operation.get());
+              }
+            }
             default -> time.after(TIMEOUT_MILLIS, () -> answer.complete(unknown));
           }
         });
@@ -61,6 +88,7 @@
       Topic topic, List<KeyedRecord> records, long expectedEnd, Fence fence) {
     return call(
         () -> log.append(topic, records, expectedEnd, fence),
+        true,
         new AppendReply(AppendOutcome.REFUSED, -1, -1),
         new AppendReply(AppendOutcome.UNKNOWN, -1, -1));
   }
@@ -79,7 +107,7 @@
       long untilMillis,
       CompletableFuture<ReadReply> answer,
       ReadReply unavailable) {
-    if (fault.get() != LogFault.NONE) {
+    if (fault.get() != LogFault.NONE && fault.get() != LogFault.DELAYS_APPENDS) {
       long delayMillis = fault.get() == LogFault.REFUSES ? LATENCY_MILLIS : TIMEOUT_MILLIS;
       time.after(delayMillis, () -> answer.complete(unavailable));
       return;
@@ -102,6 +130,7 @@
     NewestPage unavailable = new NewestPage(false, -1, List.of(), false);
     return call(
         () -> new NewestPage(true, log.endOffset(topic), log.newest(topic), false),
+        false,
         unavailable,
         unavailable);
   }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/ProgressCodecTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/ProgressCodecTest.java
@@ -23,6 +23,7 @@
 import org.peridotroute.scheduler.port.WorkerGateway.RunEnd;
 import org.peridotroute.scheduler.table.CrashHistory;
 import org.peridotroute.scheduler.table.Job;
+import org.peridotroute.scheduler.table.PreparedSubmission;
 import org.peridotroute.scheduler.table.ProgressCodec;
 import org.peridotroute.scheduler.table.RequestCodec;
 
@@ -48,7 +49,7 @@
 
   @Test
   void decodesAnEncodedSubmission() throws RecordFormatException {
-    Submission original = submission(2);
+    PreparedSubmission original = new PreparedSubmission(submission(2), 17);
     assertThat(RequestCodec.readSubmission(RequestCodec.writeSubmission(original)))
         .isEqualTo(original);
   }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/node/RequestWriterTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/node/RequestWriterTest.java
@@ -18,6 +18,7 @@
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.port.Events;
 import org.peridotroute.scheduler.port.KeyedRecord;
+import org.peridotroute.scheduler.table.PreparedSubmission;
 import org.peridotroute.scheduler.table.RequestCodec;
 import org.peridotroute.standin.world.LogModel;
 import org.peridotroute.standin.world.SimulatedCluster.LogFault;
@@ -75,10 +76,11 @@
     List<StepSpec> steps = largestSteps();
     List<CompletableFuture<RequestOutcome>> results = new ArrayList<>();
     for (int i = 0; i < 100; i++) {
-      KeyedRecord record = RequestCodec.writeSubmission(submission(i, steps));
+      KeyedRecord record =
+          RequestCodec.writeSubmission(new PreparedSubmission(submission(i, steps), 0));
       CompletableFuture<RequestOutcome> result = new CompletableFuture<>();
       results.add(result);
-      writer.store(record, () -> {}, 10_000, result);
+      writer.store(record, offset -> RequestOutcome.DONE, 10_000, result);
     }
     for (int i = 0; i < 100; i++) {
       time.pass(20);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/table/RequestCodecTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/table/RequestCodecTest.java
@@ -32,7 +32,8 @@
   void recordsKeepTheFormOfEarlierVersions() throws Exception {
     KeyedRecord stored =
         KeyedRecord.of("job/0123456789abcdef", STORED.getBytes(StandardCharsets.UTF_8));
-    Submission submission = RequestCodec.readSubmission(stored);
+    PreparedSubmission submission = RequestCodec.readSubmission(stored);
+    assertThat(submission.preparedAtOffset()).isEqualTo(-1);
     assertThat(new String(RequestCodec.writeSubmission(submission).value(), StandardCharsets.UTF_8))
         .isEqualTo(STORED);
   }
@@ -48,7 +49,10 @@
             new Submission.Terms(0, 1, 1, 0),
             0,
             new JobRequest("", List.of(StepSpec.newBuilder().build()), Schedule.ONCE));
-    assertThat(RequestCodec.readSubmission(RequestCodec.writeSubmission(submission)))
-        .isEqualTo(submission);
+    for (long preparedAtOffset : new long[] {-1, 0, 17}) {
+      PreparedSubmission prepared = new PreparedSubmission(submission, preparedAtOffset);
+      assertThat(RequestCodec.readSubmission(RequestCodec.writeSubmission(prepared)))
+          .isEqualTo(prepared);
+    }
   }
 }
