Start accepted jobs on the service that their queue has now

Cause: a submission kept the service that its queue had, and placing considered only workers of that service; workers of a service that the configuration does not name get no work. Together they left no worker.

A planner with an old configuration is ruled out: it logs the new version as applied.

Why it works: QueueServices is the one place that says on which service a job may start. It follows the configuration in force; a removed queue keeps the last service that it had, which the planner stores. Workers get work and are called if the configuration or an open job names their service, and until their ends are acknowledged.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.stream.Collectors;
 import org.peridotroute.lib.WorkerId;
@@ -84,6 +86,7 @@
   private final WorkerHealth health;
   private final StopHistory stopHistory = new StopHistory();
   private final LostWork lostWork;
+  private final QueueServices queueServices;
   private final PlanViewBuilder viewBuilder;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<StepId, CapacityClaim> claims = new HashMap<>();
@@ -151,6 +154,7 @@
     this.inheritance = inheritance;
     this.settings = settings;
     this.listener = listener;
+    queueServices = inheritance.queueServices();
     loadMeter = new LoadMeter(term, durationEstimator);
     time = ports.time();
     dispatchEvents = new DispatchEvents(ports.events(), time, term, durationEstimator);
@@ -170,7 +174,8 @@
                 this::storeConduct)
             : new FailureQuarantine(time);
     viewBuilder =
-        new PlanViewBuilder(durationEstimator, speeds, stopHistory, settings, time.steadyMillis());
+        new PlanViewBuilder(
+            durationEstimator, speeds, stopHistory, queueServices, settings, time.steadyMillis());
     journal =
         new Journal(
             ports.log(),
@@ -286,6 +291,7 @@
   public void configure(Configuration latest) {
     configuration = latest;
     workerManager.configure(latest);
+    queueServices.takeUnstored().ifPresent(journal::store);
     passNeeded = true;
   }
 
@@ -354,12 +360,15 @@
     lastPassMillis = now;
     passNeeded = false;
     long wall = time.wallMillis();
-    openJobsLeft = false;
+    Set<String> services = new HashSet<>();
     for (Job job : jobs.values()) {
       if (job.openDueOccurrences(wall) || !job.phase().isEnded()) {
-        openJobsLeft = true;
+        services.add(serviceOf(job.submission()));
       }
     }
+    openJobsLeft = !services.isEmpty();
+    workerManager.setServicesOfJobs(services);
+    claims.values().removeIf(this::isOutdated);
     PlanView view = buildView(viewBuilder, jobs, now, wall);
     claims
         .keySet()
@@ -384,6 +393,24 @@
     }
   }
 
+  /** Returns whether a claim is on workers of another service than that of its job now. */
+  private boolean isOutdated(CapacityClaim claim) {
+    Job job = jobs.get(claim.step().job());
+    return job == null
+        || claim.tasksByWorker().keySet().stream()
+            .map(workerManager::find)
+            .anyMatch(
+                worker ->
+                    worker == null
+                        || !worker.hasInfo()
+                        || !worker.info().service().equals(serviceOf(job.submission())));
+  }
+
+  /** Returns the service whose workers may start tasks of a job now. */
+  public String serviceOf(Submission submission) {
+    return queueServices.serviceOf(submission);
+  }
+
   private PlanView buildView(PlanViewBuilder builder, Map<JobId, Job> among, long now, long wall) {
     return builder.build(
         among.values(), among, workerManager.workers(), configuration, claims.values(), now, wall);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Inheritance.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Inheritance.java
@@ -9,9 +9,13 @@
  * @param workers what is stored of workers with assigned runs
  * @param claimedMillis steady time at which the claim of the term was sent
  * @param grantsEnd when earlier planners stop extending leases
+ * @param queueServices services of the queues, which the VM keeps up to date
  */
 public record Inheritance(
-    List<StoredWorkerRecord> workers, long claimedMillis, GrantsEnd grantsEnd) {
+    List<StoredWorkerRecord> workers,
+    long claimedMillis,
+    GrantsEnd grantsEnd,
+    QueueServices queueServices) {
   /** Copies the list. */
   public Inheritance {
     workers = List.copyOf(workers);
@@ -19,7 +23,8 @@
 
   /** Returns the inheritance of a planner that has no predecessor. */
   public static Inheritance none(long nowMillis) {
-    return new Inheritance(List.of(), nowMillis, new GrantsEnd(nowMillis, nowMillis));
+    return new Inheritance(
+        List.of(), nowMillis, new GrantsEnd(nowMillis, nowMillis), new QueueServices());
   }
 
   Collection<WorkerRecord> records() {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/PlanViewBuilder.java
@@ -31,6 +31,7 @@
 final class PlanViewBuilder {
   private final DurationEstimator durationEstimator;
   private final SpeedEstimates speeds;
+  private final QueueServices queueServices;
 
   /** Time within which a run should have ended after its stop was requested. */
   private final long maxStopMillis;
@@ -50,10 +51,12 @@
       DurationEstimator durationEstimator,
       SpeedEstimates speeds,
       StopHistory stopHistory,
+      QueueServices queueServices,
       DispatchSettings settings,
       long termStartMillis) {
     this.durationEstimator = durationEstimator;
     this.speeds = speeds;
+    this.queueServices = queueServices;
     policy = settings.policy();
     maxStopMillis = settings.stopMillis() + PlanSettings.START_MARGIN_MILLIS;
     urgentDemand = new UrgentDemand();
@@ -66,6 +69,7 @@
   private PlanViewBuilder(PlanViewBuilder original) {
     durationEstimator = original.durationEstimator;
     speeds = original.speeds;
+    queueServices = original.queueServices;
     policy = original.policy;
     maxStopMillis = original.maxStopMillis;
     urgentDemand = original.urgentDemand.copy();
@@ -217,7 +221,7 @@
     return new PlanView.PendingStep(
         step.id(),
         step.spec(),
-        submission.service(),
+        queueServices.serviceOf(submission),
         tasks,
         submission.terms().priority(),
         guaranteed,
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerManager.java
@@ -92,6 +92,7 @@
   private final long inheritedLeasesExpireMillis;
   private Closures closures = Closures.UNKNOWN;
   private Configuration configuration;
+  private Set<String> servicesOfJobs = Set.of();
   private long lastSequence;
   private boolean closed;
 
@@ -164,7 +165,7 @@
     }
     worker.markListed(info, time.steadyMillis());
     worker.setInClosedDataCentre(closures.isClosed(info.dataCentre()));
-    worker.setServiceConfigured(configuration != null && configuration.hasService(info.service()));
+    worker.setServiceInUse(isInUse(info.service()));
     probeOthersAt(worker);
   }
 
@@ -185,11 +186,28 @@
   /** Sets the configuration in force, which names the services. */
   void configure(Configuration latest) {
     configuration = latest;
+    updateServicesInUse();
+  }
+
+  /** Sets the services whose workers run the tasks of open jobs. */
+  void setServicesOfJobs(Set<String> services) {
+    if (!services.equals(servicesOfJobs)) {
+      servicesOfJobs = Set.copyOf(services);
+      updateServicesInUse();
+    }
+  }
+
+  private void updateServicesInUse() {
     for (WorkerState worker : workers.values()) {
-      worker.setServiceConfigured(worker.hasInfo() && latest.hasService(worker.info().service()));
+      worker.setServiceInUse(worker.hasInfo() && isInUse(worker.info().service()));
     }
   }
 
+  private boolean isInUse(String service) {
+    return servicesOfJobs.contains(service)
+        || (configuration != null && configuration.hasService(service));
+  }
+
   /** Sets the data centres that are closed for new work. */
   void setClosures(Closures latest) {
     closures = latest;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/WorkerState.java
@@ -49,7 +49,7 @@
   private final Restraint restraint = new Restraint();
   private final LeaseHold leaseHold = new LeaseHold();
   private boolean inClosedDataCentre;
-  private boolean serviceConfigured;
+  private boolean serviceInUse;
   private long inheritedStartMillis;
   private long announcedEndMillis = Long.MAX_VALUE;
 
@@ -157,7 +157,7 @@
   /** Returns whether the worker may get new work. */
   boolean isUsable(long nowMillis) {
     return listed
-        && serviceConfigured
+        && serviceInUse
         && !inClosedDataCentre
         && tokenSeen
         && !info.draining()
@@ -171,17 +171,20 @@
     inClosedDataCentre = closed;
   }
 
-  /** Sets whether the configuration names the service of the worker. */
-  void setServiceConfigured(boolean configured) {
-    serviceConfigured = configured;
+  /** Sets whether the configuration or an open job needs the service of the worker. */
+  void setServiceInUse(boolean inUse) {
+    serviceInUse = inUse;
   }
 
   /**
-   * Returns whether the planner calls the worker: it has runs, or it is listed for a service that
-   * the configuration names. Entries of other services may come from programs that are no workers.
+   * Returns whether the planner calls the worker: it has runs, or it is listed and either its
+   * service is in use or ends that it has reported are not acknowledged. Entries of other services
+   * may come from programs that are no workers.
    */
   boolean isPolled() {
-    return info != null && (!attemptsByKey.isEmpty() || (listed && serviceConfigured));
+    return info != null
+        && (!attemptsByKey.isEmpty()
+            || (listed && (serviceInUse || lastSeenEnd > acknowledgedEnd)));
   }
 
   /** Returns whether the data centre of the worker is closed for new work. */
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Configuration.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Configuration.java
@@ -1,5 +1,6 @@
 package org.peridotroute.scheduler.model;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
   private final Map<String, OrganisationAccess> organisationsByKey;
   private final Map<String, OrganisationAccess> organisations;
   private final Map<String, ServiceSpec> services;
+  private final Map<String, Queue> queuesByName;
   private final Set<String> servicesOfQueues;
 
   /**
@@ -36,6 +38,9 @@
       byHost.merge(queue.host(), List.of(queue), Configuration::concat);
     }
     queuesByHost = Map.copyOf(byHost);
+    Map<String, Queue> byQueueName = new HashMap<>();
+    queues.forEach(queue -> byQueueName.putIfAbsent(queue.name(), queue));
+    queuesByName = Map.copyOf(byQueueName);
     Map<String, OrganisationAccess> byKey = new HashMap<>();
     Map<String, OrganisationAccess> byName = new HashMap<>();
     for (OrganisationAccess organisation : organisations) {
@@ -84,10 +89,12 @@
    * @return the queue, or empty if there is none
    */
   public Optional<Queue> queueNamed(String name) {
-    return queuesByHost.values().stream()
-        .flatMap(List::stream)
-        .filter(queue -> queue.name().equals(name))
-        .findFirst();
+    return Optional.ofNullable(queuesByName.get(name));
+  }
+
+  /** Returns the queues, each name once. */
+  public Collection<Queue> queues() {
+    return queuesByName.values();
   }
 
   /**
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Submission.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/model/Submission.java
@@ -4,13 +4,15 @@
 
 /**
  * An accepted job. It keeps the terms that its queue had at the time of acceptance, so that a later
- * configuration does not change what the caller was promised.
+ * configuration does not change what the caller was promised. Where it runs is not one of them: its
+ * tasks run on the service that the configuration in force gives the queue.
  *
  * @param id identity of the job
  * @param organisation organisation that submitted the job; empty if its queue is open and the
  *     caller presented no known API key
  * @param queue name of the queue
- * @param service service whose workers run the job
+ * @param service service that the queue had at the time of acceptance; it counts only while no
+ *     configuration that contains the queue is known
  * @param terms terms of the queue
  * @param acceptedAtMillis time of acceptance on the wall clock of the VM that accepted the job, in
  *     milliseconds since 1970
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplainer.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobExplainer.java
@@ -160,7 +160,7 @@
         phase,
         steps,
         pendingSteps.size() - steps.size(),
-        unavailableByRack(view, submission.service()),
+        unavailableByRack(view, current.serviceOf(submission)),
         new JobExplanation.Basis(
             vm,
             current.term().epoch(),
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -1,14 +1,17 @@
 package org.peridotroute.scheduler.node;
 
+import java.io.IOException;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.stream.Collectors;
 import org.peridotroute.errors.RecordFormatException;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
 import org.peridotroute.scheduler.dispatch.Inheritance;
+import org.peridotroute.scheduler.dispatch.QueueServices;
 import org.peridotroute.scheduler.dispatch.Term;
 import org.peridotroute.scheduler.load.AcceptAll;
 import org.peridotroute.scheduler.load.LoadHistory;
@@ -74,6 +77,7 @@
   private final Executor control;
   private final Map<JobId, JobEntry> entries = new ConcurrentHashMap<>();
   private final StoredWorkers storedWorkers = new StoredWorkers();
+  private final QueueServices queueServices = new QueueServices();
   private final RequestWriter writer;
   private final EarlyCancellations earlyCancellations;
   private final TopicFollower requests;
@@ -337,11 +341,20 @@
   }
 
   private void onConfiguration(Configuration latest) {
+    Set<String> queuesInUse = queuesInUse();
+    queueServices.configure(latest, queue -> !requests.isLoaded() || queuesInUse.contains(queue));
     if (dispatcher != null) {
       dispatcher.configure(latest);
     }
   }
 
+  private Set<String> queuesInUse() {
+    return entries.values().stream()
+        .filter(entry -> entry.submission() != null && !entry.visiblePhase().isEnded())
+        .map(entry -> entry.submission().queue())
+        .collect(Collectors.toSet());
+  }
+
   /** Handles submissions and cancellations read from the log. */
   private final class RequestListener implements TopicFollower.Listener {
     @Override
@@ -450,6 +463,9 @@
       if (record.key().equals(Term.SETTLED_KEY)) {
         Term.readSettled(record.value()).ifPresent(role::onSettled);
       }
+      if (record.key().equals(QueueServices.KEY)) {
+        addQueueServices(record);
+      }
       if (record.key().equals(LoadSummary.KEY)) {
         LoadSummary.read(record.value())
             .ifPresent(summary -> loadHistory.add(summary, time.steadyMillis()));
@@ -466,6 +482,14 @@
       }
     }
 
+    private void addQueueServices(KeyedRecord record) {
+      try {
+        queueServices.addStored(record.value());
+      } catch (IOException e) {
+        events.warn("queue-services-unreadable", "reason", e.getMessage());
+      }
+    }
+
     @Override
     public void onRead(boolean empty, long sentMillis, long endOffset) {
       if (dispatcher == null && canPlan()) {
@@ -498,7 +522,10 @@
             settings.dispatch(),
             ports,
             new Inheritance(
-                storedWorkers.records(), election.claimedMillis(), election.grantsEnd()),
+                storedWorkers.records(),
+                election.claimedMillis(),
+                election.grantsEnd(),
+                queueServices),
             new DispatcherListener(term));
     events.info(
         "planner-started",
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -16,6 +16,7 @@
 import org.peridotroute.scheduler.dispatch.DispatchSettings;
 import org.peridotroute.scheduler.dispatch.Dispatcher;
 import org.peridotroute.scheduler.model.Capacity;
+import org.peridotroute.scheduler.model.Configuration;
 import org.peridotroute.scheduler.model.Feature;
 import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
@@ -91,6 +92,8 @@
   private final Events events;
   private boolean crashedWorkersKeepId;
   private long appendDelayMillis = 6_000;
+  private final List<Configuration> configurations = new ArrayList<>();
+  private int workerCount;
   private int incarnationCount;
   private int successorCount;
   private boolean retrying = true;
@@ -105,12 +108,12 @@
    *
    * @param seed seed of all random choices
    * @param vmCount number of VMs, named vm-0, vm-1 and so on
-   * @param workerCount number of workers
+   * @param initialWorkers number of workers
    * @param events receives the events of all VMs
    * @param features the features that are switched on
    */
   public SimulatedCluster(
-      long seed, int vmCount, int workerCount, Events events, Set<Feature> features) {
+      long seed, int vmCount, int initialWorkers, Events events, Set<Feature> features) {
     dispatchSettings =
         new DispatchSettings(
             10_000,
@@ -136,15 +139,8 @@
     workerGateway =
         new SimulatedWorkerGateway(
             time, random, oracle, workers, dispatchSettings.callTimeoutMillis());
-    append(Topic.CONFIGURATION, "config", new byte[] {1});
-    for (int i = 0; i < workerCount; i++) {
-      WorkerId id = new WorkerId("w-" + i);
-      int rack = i / WORKERS_PER_RACK;
-      String dataCentre = "dc-" + rack % DATA_CENTRES;
-      addWorker(
-          id, dataCentre, "rack-" + rack, HostPort.parse("10.0." + i / 250 + "." + i % 250 + ":1"));
-      setListed(id, true);
-    }
+    apply(SimulatedRecords.firstConfiguration());
+    addWorkers(SERVICE, initialWorkers);
     for (int i = 0; i < vmCount; i++) {
       SimulatedVm vm = newVm("vm-" + i);
       vms.put(vm.name, vm);
@@ -170,17 +166,55 @@
     return new SchedulerVm(
         SimulatedVm.settings(name, "life" + incarnationCount++, dispatchSettings),
         ports,
-        new SimulatedRecords(this::description));
+        new SimulatedRecords(this::description, version -> configurations.get(version - 1)));
   }
 
   private WorkerInfo description(WorkerId id) {
     return workers.containsKey(id) ? workers.get(id).info : foreignEntries.get(id);
   }
 
-  private void addWorker(WorkerId id, String dataCentre, String rack, HostPort address) {
-    workers.put(
-        id, new WorkerHost(SimulatedRecords.worker(id, SERVICE, address, dataCentre, rack)));
-    restartWorker(id);
+  /**
+   * Adds workers of a service, in racks of their own.
+   *
+   * @return their ids
+   */
+  public List<WorkerId> addWorkers(String service, int count) {
+    List<WorkerId> added = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      int number = workerCount++;
+      WorkerId id = new WorkerId("w-" + number);
+      int rack = number / WORKERS_PER_RACK;
+      String dataCentre = "dc-" + rack % DATA_CENTRES;
+      HostPort address = HostPort.parse("10.0." + number / 250 + "." + number % 250 + ":1");
+      addWorker(SimulatedRecords.worker(id, service, address, dataCentre, "rack-" + rack));
+      setListed(id, true);
+      added.add(id);
+    }
+    return added;
+  }
+
+  private void addWorker(WorkerInfo info) {
+    workers.put(info.id(), new WorkerHost(info));
+    oracle.onWorker(info.id().value(), info.service());
+    restartWorker(info.id());
+  }
+
+  /**
+   * Puts a configuration of the next version in force.
+   *
+   * @param servicesByPriority services of the queues, by their priority; other queues are removed
+   * @param services the services that it lists besides those of the queues
+   */
+  public void configure(Map<Integer, String> servicesByPriority, String... services) {
+    apply(
+        SimulatedRecords.configuration(
+            configurations.size() + 1, servicesByPriority, List.of(services)));
+  }
+
+  private void apply(Configuration configuration) {
+    configurations.add(configuration);
+    configuration.queues().forEach(queue -> oracle.onQueue(queue.name(), queue.service()));
+    append(Topic.CONFIGURATION, "config", new byte[] {(byte) configuration.version()});
   }
 
   private void append(Topic topic, String key, byte[] value) {
@@ -217,6 +251,18 @@
     return workers.get(id).incarnation.used();
   }
 
+  /** Returns the number of workers that hold ends which no planner has acknowledged. */
+  public long unacknowledgedEnds() {
+    return workers.values().stream()
+        .filter(host -> host.incarnation.hasUnacknowledgedEnds(0))
+        .count();
+  }
+
+  /** Returns the number of polls that some workers have got. */
+  public long polls(List<WorkerId> ids) {
+    return ids.stream().mapToLong(workerGateway::polls).sum();
+  }
+
   /** Returns the name of the first running VM that acts as planner, or empty if none does. */
   public Optional<String> planner() {
     return vms.values().stream()
@@ -250,7 +296,13 @@
     WorkerHost host = workers.get(id);
     host.incarnation.terminate();
     host.replaced = true;
-    addWorker(successor, host.info.dataCentre(), host.info.rack(), host.info.address());
+    addWorker(
+        SimulatedRecords.worker(
+            successor,
+            host.info.service(),
+            host.info.address(),
+            host.info.dataCentre(),
+            host.info.rack()));
   }
 
   /**
@@ -450,9 +502,14 @@
    * @param priority priority of its queue
    */
   public void submit(JobId id, JobRequest request, int priority) {
+    onSubmitted(id, request, priority);
+    trySubmit(id, request, priority, time.wallMillis());
+  }
+
+  private void onSubmitted(JobId id, JobRequest request, int priority) {
     tasks.addJob(id, request);
     oracle.onSubmitted(id, request);
-    trySubmit(SimulatedRecords.submission(id, request, priority, time.wallMillis()));
+    oracle.onQueued(id, SimulatedRecords.queueName(priority));
   }
 
   /** Returns the explainer of a VM; it may be asked while no event is being handled. */
@@ -462,11 +519,11 @@
 
   /** Submits a job to one VM, without retries. */
   public CompletableFuture<RequestOutcome> submitAt(String name, JobId id, JobRequest request) {
-    tasks.addJob(id, request);
-    oracle.onSubmitted(id, request);
-    return vms.get(name)
-        .scheduler
-        .submit(SimulatedRecords.submission(id, request, 0, time.wallMillis()), 2_000)
+    onSubmitted(id, request, 0);
+    SchedulerVm vm = vms.get(name).scheduler;
+    return vm.submit(
+            SimulatedRecords.submission(id, request, 0, vm.configuration(), time.wallMillis()),
+            2_000)
         .thenApply(SubmitResult::outcome);
   }
 
@@ -476,25 +533,28 @@
     return live.isEmpty() ? null : live.get(random.nextInt(live.size()));
   }
 
-  private void trySubmit(Submission submission) {
+  private void trySubmit(JobId id, JobRequest request, int priority, long wallMillis) {
     if (!retrying) {
       return;
     }
     SimulatedVm vm = randomLiveVm();
     boolean configured = vm != null && vm.scheduler.configuration() != null;
     if (!configured) {
-      time.after(500, () -> trySubmit(submission));
+      time.after(500, () -> trySubmit(id, request, priority, wallMillis));
       return;
     }
+    Submission submission =
+        SimulatedRecords.submission(
+            id, request, priority, vm.scheduler.configuration(), wallMillis);
     var unused =
         vm.scheduler
             .submit(submission, 2_000)
             .thenAccept(
                 result -> {
                   if (result.outcome() == RequestOutcome.DONE) {
-                    accepted.add(submission.id());
+                    accepted.add(id);
                   } else {
-                    time.after(500, () -> trySubmit(submission));
+                    time.after(500, () -> trySubmit(id, request, priority, wallMillis));
                   }
                 });
   }
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedRecords.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedRecords.java
@@ -1,8 +1,11 @@
 package org.peridotroute.standin.world;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.IntFunction;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.peridotroute.lib.HostPort;
 import org.peridotroute.lib.WorkerId;
@@ -11,6 +14,7 @@
 import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.OrganisationAccess;
 import org.peridotroute.scheduler.model.Queue;
+import org.peridotroute.scheduler.model.ServiceSpec;
 import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.node.SchedulerVm;
@@ -29,14 +33,50 @@
   private static final int QUEUES = 3;
 
   private final Function<WorkerId, WorkerInfo> workers;
+  private final IntFunction<Configuration> configurations;
 
   /**
    * Creates a decoder.
    *
    * @param workers returns the description of a worker
+   * @param configurations returns the configuration that a version names
    */
-  SimulatedRecords(Function<WorkerId, WorkerInfo> workers) {
+  SimulatedRecords(
+      Function<WorkerId, WorkerInfo> workers, IntFunction<Configuration> configurations) {
     this.workers = workers;
+    this.configurations = configurations;
+  }
+
+  /** Returns the name of the queue of a priority. */
+  static String queueName(int priority) {
+    return "queue-" + priority;
+  }
+
+  /** Returns the first configuration, which sends all queues to one service. */
+  static Configuration firstConfiguration() {
+    return configuration(
+        1,
+        IntStream.range(0, QUEUES)
+            .boxed()
+            .collect(Collectors.toMap(priority -> priority, priority -> SimulatedCluster.SERVICE)),
+        List.of());
+  }
+
+  /**
+   * Returns a configuration.
+   *
+   * @param servicesByPriority services of the queues, by their priority
+   * @param services the services that it lists besides
+   */
+  static Configuration configuration(
+      int version, Map<Integer, String> servicesByPriority, List<String> services) {
+    return new Configuration(
+        version,
+        servicesByPriority.entrySet().stream()
+            .map(entry -> queue(entry.getKey(), entry.getValue()))
+            .toList(),
+        List.of(new OrganisationAccess(ORGANISATION, List.of("key"), 8, List.of())),
+        services.stream().map(name -> new ServiceSpec(name, false, false)).toList());
   }
 
   /** Returns the key of the record that closes a data centre. */
@@ -44,14 +84,19 @@
     return CLOSURE_PREFIX + dataCentre;
   }
 
-  /** Returns a submission to the queue of a priority. */
-  static Submission submission(JobId id, JobRequest request, int priority, long wallMillis) {
+  /** Returns a submission to the queue of a priority, by the configuration of the VM. */
+  static Submission submission(
+      JobId id, JobRequest request, int priority, Configuration configuration, long wallMillis) {
+    Queue queue =
+        configuration
+            .queueNamed(queueName(priority))
+            .orElseThrow(() -> new IllegalArgumentException("no queue of priority " + priority));
     return new Submission(
         id,
         ORGANISATION,
-        queue(priority).name(),
-        SimulatedCluster.SERVICE,
-        queue(priority).terms(List.of()),
+        queue.name(),
+        queue.service(),
+        queue.terms(List.of()),
         wallMillis,
         request);
   }
@@ -73,29 +118,15 @@
         0);
   }
 
-  private static Queue queue(int priority) {
-    String name = "queue-" + priority;
+  private static Queue queue(int priority, String service) {
+    String name = queueName(priority);
     return new Queue(
-        name,
-        "simulated",
-        "/" + name + "/",
-        SimulatedCluster.SERVICE,
-        priority,
-        4,
-        3,
-        1_000,
-        false,
-        List.of());
+        name, "simulated", "/" + name + "/", service, priority, 4, 3, 1_000, false, List.of());
   }
 
   @Override
   public Optional<Configuration> decodeConfiguration(byte[] value) {
-    return Optional.of(
-        new Configuration(
-            1,
-            IntStream.range(0, QUEUES).mapToObj(SimulatedRecords::queue).toList(),
-            List.of(new OrganisationAccess(ORGANISATION, List.of("key"), 8, List.of())),
-            List.of()));
+    return Optional.of(configurations.apply(value[0]));
   }
 
   @Override
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedWorkerGateway.java
@@ -1,5 +1,6 @@
 package org.peridotroute.standin.world;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -11,6 +12,7 @@
 
 /** Network path from a VM to the workers, with latency, lost and late calls. */
 final class SimulatedWorkerGateway implements WorkerGateway {
+  private final Map<WorkerId, Long> pollsByWorker = new HashMap<>();
   private static final int MIN_LATE_MILLIS = 2_000;
   private static final int LATE_RANGE_MILLIS = 10_000;
 
@@ -62,6 +64,11 @@
     linkBytesPerSecond = value;
   }
 
+  /** Returns the number of polls that were sent to a worker. */
+  long polls(WorkerId worker) {
+    return pollsByWorker.getOrDefault(worker, 0L);
+  }
+
   /** Returns how long a start waits for the link and occupies it. */
   private long transferMillis(StartRequest request) {
     double bytes = START_OVERHEAD_BYTES + request.payload().length();
@@ -118,6 +125,7 @@
 
     @Override
     public CompletableFuture<PollReply> poll(Target target, PollRequest request) {
+      pollsByWorker.merge(new WorkerId(target.id()), 1L, Long::sum);
       return call(
           target,
           request.waitMillis() + callTimeoutMillis,
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
@@ -17,7 +17,8 @@
  * Observes the workers and records every violated invariant: a task that runs twice at a time,
  * starts before the steps it depends on or after its success was stored, starts although its job
  * was never submitted or was cancelled, or starts after too many failures or crashes of workers, a
- * start in a closed data centre, and a worker whose tasks exceed its capacity. Used by one thread.
+ * start in a closed data centre, a start on a worker of a service to which no configuration has
+ * sent the queue, and a worker whose tasks exceed its capacity. Used by one thread.
  */
 public final class SimulationOracle implements WorkerModel.Observer {
   /** A run of a task and the worker that executes it. */
@@ -56,6 +57,9 @@
   private final Map<TaskId, Integer> crashes = new HashMap<>();
   private final Map<TaskId, Integer> startsAfterCrashes = new HashMap<>();
   private final Map<String, List<PublishedCapacity>> publishedCapacities = new HashMap<>();
+  private final Map<String, String> serviceByWorker = new HashMap<>();
+  private final Map<String, Set<String>> servicesByQueue = new HashMap<>();
+  private final Map<JobId, String> queueByJob = new HashMap<>();
   private int maxAttempts = Integer.MAX_VALUE;
   private int startCount;
   private boolean lateCall;
@@ -90,6 +94,31 @@
     requests.put(id, request);
   }
 
+  /** Records the queue of a job, by which the services of its workers are checked. */
+  public void onQueued(JobId id, String queue) {
+    queueByJob.put(id, queue);
+  }
+
+  /** Records that a configuration sends a queue to a service. */
+  public void onQueue(String queue, String service) {
+    servicesByQueue.computeIfAbsent(queue, key -> new HashSet<>()).add(service);
+  }
+
+  /** Records the service of a worker. */
+  public void onWorker(String worker, String service) {
+    serviceByWorker.put(worker, service);
+  }
+
+  private void checkService(WorkerModel worker, TaskId task) {
+    String queue = queueByJob.get(task.job());
+    String service = serviceByWorker.get(worker.id());
+    if (queue != null
+        && service != null
+        && !servicesByQueue.getOrDefault(queue, Set.of()).contains(service)) {
+      report(task + " of " + queue + " starts on " + worker.id() + " of service " + service);
+    }
+  }
+
   /** Records that a cancellation was acknowledged. */
   public void onCancelled(JobId id) {
     cancelledAtMillis.putIfAbsent(id, time.steadyMillis());
@@ -123,6 +152,7 @@
     }
     checkCrashes(worker, task, run);
     checkClosure(worker, task);
+    checkService(worker, task);
     if (failures.getOrDefault(task, 0) >= maxAttempts) {
       report(task + " starts after " + maxAttempts + " failures");
     }
