Measure the load of each service by itself

Callers saw: a job of a queue with idle workers was refused for the waiting work of another service.

Cause: LoadMeter divided the waiting work of all queues by the accelerators of all workers, whatever service they belong to.

Evidence: AdmissionTest.aJobIsNotRefusedForTheLoadOfAnotherService fails without the change.

Why it works: the wait of a queue counts the work that needs the same service, over the workers of that service.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -155,7 +155,7 @@
     this.settings = settings;
     this.listener = listener;
     queueServices = inheritance.queueServices();
-    loadMeter = new LoadMeter(term, durationEstimator);
+    loadMeter = new LoadMeter(term, durationEstimator, queueServices);
     time = ports.time();
     dispatchEvents = new DispatchEvents(ports.events(), time, term, durationEstimator);
     lostWork = new LostWork(stopHistory, dispatchEvents, time);
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/LoadMeter.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/LoadMeter.java
@@ -19,20 +19,22 @@
  * Sums up the waiting work for publication. Confined to the control thread.
  *
  * <p>The wait of a queue is a lower bound: the accelerator time of all waiting work that is at
- * least as urgent, divided by all accelerators, as if nothing else ran. Work that is of no use any
- * more is left out, since it starts last.
+ * least as urgent and needs the same service, divided by all accelerators of that service, as if
+ * nothing else ran. Work that is of no use any more is left out, since it starts last.
  */
 final class LoadMeter {
   private static final long PUBLISH_INTERVAL_MILLIS = 500;
 
   private final Term term;
   private final DurationEstimator durationEstimator;
+  private final QueueServices queueServices;
   private long version;
   private long lastPublishedMillis = Long.MIN_VALUE / 2;
 
-  LoadMeter(Term term, DurationEstimator durationEstimator) {
+  LoadMeter(Term term, DurationEstimator durationEstimator, QueueServices queueServices) {
     this.term = term;
     this.durationEstimator = durationEstimator;
+    this.queueServices = queueServices;
   }
 
   /** Returns whether the last summary is old enough for the next one. */
@@ -42,12 +44,14 @@
 
   private static final class QueueSum {
     private final int priority;
+    private final String service;
     private long acceleratorMillis;
     private long durationMillis;
     private final List<Long> jobAcceleratorMillis = new ArrayList<>();
 
-    QueueSum(int priority) {
+    QueueSum(int priority, String service) {
       this.priority = priority;
+      this.service = service;
     }
   }
 
@@ -69,14 +73,20 @@
         addWaiting(sums, job);
       }
     }
-    long accelerators =
-        workers.stream()
-            .filter(worker -> worker.hasInfo() && worker.isUsable(nowMillis))
-            .mapToLong(worker -> worker.info().capacity().accelerators())
-            .sum();
+    Map<String, Long> accelerators = new HashMap<>();
+    for (WorkerState worker : workers) {
+      if (worker.hasInfo() && worker.isUsable(nowMillis)) {
+        accelerators.merge(
+            worker.info().service(), worker.info().capacity().accelerators(), Long::sum);
+      }
+    }
     List<QueueLoad> queues = new ArrayList<>();
-    sums.forEach((queue, sum) -> queues.add(load(queue, sum, sums.values(), accelerators)));
-    return new LoadSummary(term.epoch(), ++version, accelerators, queues, urgentAccelerators);
+    sums.forEach(
+        (queue, sum) ->
+            queues.add(
+                load(queue, sum, sums.values(), accelerators.getOrDefault(sum.service, 0L))));
+    long allAccelerators = accelerators.values().stream().mapToLong(Long::longValue).sum();
+    return new LoadSummary(term.epoch(), ++version, allAccelerators, queues, urgentAccelerators);
   }
 
   private boolean isExpired(Submission submission, long wallMillis) {
@@ -109,7 +119,9 @@
     }
     QueueSum sum =
         sums.computeIfAbsent(
-            submission.queue(), key -> new QueueSum(submission.terms().priority()));
+            submission.queue(),
+            key ->
+                new QueueSum(submission.terms().priority(), queueServices.serviceOf(submission)));
     sum.acceleratorMillis += acceleratorMillis;
     sum.jobAcceleratorMillis.add(acceleratorMillis);
     sum.durationMillis +=
@@ -127,6 +139,7 @@
     long ahead =
         all.stream()
             .filter(other -> other.priority <= sum.priority)
+            .filter(other -> other.service.equals(sum.service))
             .mapToLong(other -> other.acceleratorMillis)
             .sum();
     List<Long> sorted = sum.jobAcceleratorMillis.stream().sorted().toList();
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/AdmissionTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/AdmissionTest.java
@@ -31,11 +31,15 @@
   }
 
   private static JobRequest job(int number) {
+    return job(number, 2_000);
+  }
+
+  private static JobRequest job(int number, long millis) {
     StepSpec step =
         StepSpec.newBuilder()
             .setCount(4)
             .setNeed(new Capacity(8_000, 8_000, 8))
-            .setEstimateMillis(2_000)
+            .setEstimateMillis(millis)
             .build();
     return new JobRequest("payload " + number, List.of(step), Schedule.ONCE);
   }
@@ -102,6 +106,23 @@
     }
   }
 
+  @Test
+  void aJobIsNotRefusedForTheLoadOfAnotherService() {
+    SimulatedCluster cluster = cluster(4, Set.of(Feature.ADMISSION));
+    cluster.configure(Map.of(0, SimulatedCluster.SERVICE, 1, "press"));
+    var unused = cluster.addWorkers("press", WORKERS);
+    cluster.time().pass(3_000);
+    for (int i = 1; i <= 6; i++) {
+      cluster.submit(id(i), job(i, 60_000), 0);
+      cluster.time().pass(800);
+    }
+    for (int i = 1_001; i <= 1_008; i++) {
+      cluster.submit(id(i), job(i, 6_000), 1);
+      cluster.time().pass(800);
+      assertThat(cluster.accepted()).contains(id(i));
+    }
+  }
+
   @Test
   void refusesNobodyWithoutTheFeature() {
     SimulatedCluster cluster = cluster(3, Set.of());
