--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakMain.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakMain.java
@@ -15,9 +15,12 @@
  * the side of the workers that no task runs twice, that each accepted job ends, that nothing of a
  * cancelled job runs on, and that no process ends by itself. Options: {@code soak --seed N
  * --seconds N --vms N --workers N --interval MILLIS --fault-interval MILLIS --home DIR --folder
- * DIR}; settings and logs of the VMs go to the folder. Exits with status 1 if a check fails.
+ * DIR}; settings and logs of the VMs go to the folder. Exits with status 1 if a check fails, and
+ * with status 2 if the soak could not be played.
  */
 public final class SoakMain {
+  private static final System.Logger LOGGER = System.getLogger(SoakMain.class.getName());
+  private static final int COULD_NOT_PLAY = 2;
   private static final long APPEND_MILLIS = 4;
   private static final long BOOT_MILLIS = 6_000;
   private static final long MILLIS_PER_SECOND = 1_000;
@@ -62,15 +65,28 @@
    * Runs the soak.
    *
    * @param arguments the options listed at the class
-   * @throws Exception if a process cannot be started or a fault does not end
+   * @throws IOException if the folder of settings and logs cannot be written
    */
-  public static void main(String[] arguments) throws Exception {
+  public static void main(String[] arguments) throws IOException {
     // The server of the stand-ins delays small responses otherwise.
     System.setProperty("sun.net.httpserver.nodelay", "true");
     SoakMain soak = new SoakMain(new Arguments(List.of(arguments)));
     Runtime.getRuntime().addShutdownHook(new Thread(soak::stopVms));
-    soak.start();
-    System.exit(soak.play() ? 0 : 1);
+    System.exit(soak.run());
+  }
+
+  /** Runs the soak and returns the exit status. */
+  private int run() {
+    try {
+      start();
+      return play() ? 0 : 1;
+    } catch (IOException | RuntimeException e) {
+      // The threads of the stand-ins would keep the process from ending.
+      LOGGER.log(System.Logger.Level.ERROR, "the soak could not be played", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return COULD_NOT_PLAY;
   }
 
   private void start() throws IOException, InterruptedException {
