Add late appends, withdrawn jobs and moving queues to the soak

The soak had no appends that are done late, no caller that withdraws a job whose submission got no answer, and a single service. It now has them, and checks that a withdrawn job never starts if its cancellation was stored first, and that tasks run on a service of their queue.

--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakCallers.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakCallers.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import org.peridotroute.adapter.standin.StoreStandIn;
 import org.peridotroute.bench.CallerClient;
 import org.peridotroute.bench.EdgeProcess;
 import org.peridotroute.scheduler.model.Capacity;
@@ -13,26 +15,33 @@
 import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.Schedule;
 import org.peridotroute.scheduler.model.StepSpec;
+import org.peridotroute.scheduler.port.Topic;
+import org.peridotroute.scheduler.table.RequestCodec;
 
 /**
  * Callers that submit jobs at a steady rate over open connections, repeat each call at other VMs
- * until it is acknowledged, and cancel some jobs.
+ * until it is acknowledged, and cancel some jobs. Some callers withdraw a job whose submission gets
+ * no answer, instead of repeating it.
  */
 final class SoakCallers {
   private static final long RETRY_MILLIS = 300;
   private static final double CANCEL_SHARE = 0.1;
+  private static final double WITHDRAW_SHARE = 0.4;
   private static final double GANG_SHARE = 0.2;
   private static final int OK = 200;
   private static final int GONE = 410;
 
+  private final StoreStandIn store;
   private final SoakVms vms;
   private final SoakWorkers workers;
   private final Random random;
   private final CallerClient client = new CallerClient();
   private final Map<JobId, Boolean> cancelledByJob = new ConcurrentHashMap<>();
+  private final Set<JobId> withdrawnUnknown = ConcurrentHashMap.newKeySet();
   private int jobCount;
 
-  SoakCallers(SoakVms vms, SoakWorkers workers, long seed) {
+  SoakCallers(StoreStandIn store, SoakVms vms, SoakWorkers workers, long seed) {
+    this.store = store;
     this.vms = vms;
     this.workers = workers;
     random = new Random(seed);
@@ -43,11 +52,12 @@
     while (System.currentTimeMillis() < untilMillis) {
       JobId id = new JobId("%016x".formatted(++jobCount));
       JobRequest request = newRequest();
-      int queue = random.nextInt(3);
+      String queue = SoakConfiguration.queueName(random.nextInt(SoakConfiguration.QUEUES));
       boolean cancels = random.nextDouble() < CANCEL_SHARE;
-      workers.onSubmitted(id, request);
+      boolean withdraws = random.nextDouble() < WITHDRAW_SHARE;
+      workers.onSubmitted(id, request, queue);
       Thread caller =
-          new Thread(() -> submit(id, request, "/q%d/".formatted(queue), cancels), "caller");
+          new Thread(() -> submit(id, request, "/" + queue + "/", cancels, withdraws), "caller");
       caller.setDaemon(true);
       caller.start();
       Thread.sleep(intervalMillis);
@@ -66,8 +76,13 @@
     return new JobRequest("soak", List.of(step), Schedule.ONCE);
   }
 
-  private void submit(JobId id, JobRequest request, String path, boolean cancels) {
+  private void submit(
+      JobId id, JobRequest request, String path, boolean cancels, boolean withdraws) {
     try {
+      if (withdraws && send("POST", path + id, body(request)) != OK) {
+        withdraw(id, path);
+        return;
+      }
       call("POST", path + id, body(request));
       cancelledByJob.put(id, cancels);
       if (cancels) {
@@ -79,6 +94,14 @@
     }
   }
 
+  private void withdraw(JobId id, String path) throws InterruptedException {
+    if (call("DELETE", path + id, "") == OK) {
+      cancelledByJob.put(id, true);
+    } else {
+      withdrawnUnknown.add(id);
+    }
+  }
+
   private static String body(JobRequest request) {
     StepSpec step = request.steps().get(0);
     return "{\"spec\":\"soak\",\"steps\":[{\"count\":%d,\"cpu\":%d,\"mem_mb\":%d,\"gpu\":%d,"
@@ -90,18 +113,53 @@
         + "\"gang\":%s,\"estimate_ms\":%d}]}".formatted(step.gang(), step.estimateMillis());
   }
 
-  /** Repeats a call at random VMs until it is acknowledged. */
-  private void call(String method, String path, String body) throws InterruptedException {
+  /** Repeats a call at random VMs until it is acknowledged, and returns the status. */
+  private int call(String method, String path, String body) throws InterruptedException {
     while (true) {
-      EdgeProcess vm = vms.vms().get(ThreadLocalRandom.current().nextInt(vms.vms().size()));
-      int status = client.send(vm, method, path, body).status();
+      int status = send(method, path, body);
       if (status == OK || status == GONE) {
-        return;
+        return status;
       }
       Thread.sleep(RETRY_MILLIS);
     }
   }
 
+  private int send(String method, String path, String body) throws InterruptedException {
+    EdgeProcess vm = vms.vms().get(ThreadLocalRandom.current().nextInt(vms.vms().size()));
+    return client.send(vm, method, path, body).status();
+  }
+
+  /** Returns the number of jobs that were withdrawn while they were not on the log. */
+  int withdrawnCount() {
+    return withdrawnUnknown.size();
+  }
+
+  /** Returns the number of those whose submission was stored later. */
+  long lateCount() {
+    return withdrawnUnknown.stream().filter(id -> submittedOffset(id) >= 0).count();
+  }
+
+  private long submittedOffset(JobId id) {
+    return store.firstOffset(Topic.REQUESTS, RequestCodec.submissionKey(id));
+  }
+
+  /**
+   * Returns the withdrawn jobs that were started though their submission was stored after the
+   * cancellation, or without one.
+   */
+  List<String> unasked() {
+    List<String> unasked = new ArrayList<>();
+    for (JobId id : withdrawnUnknown) {
+      long cancelledOffset =
+          store.firstOffset(Topic.REQUESTS, RequestCodec.writeCancellation(id).key());
+      boolean cancelledFirst = cancelledOffset >= 0 && submittedOffset(id) > cancelledOffset;
+      if (workers.startCount(id) > 0 && (cancelledOffset < 0 || cancelledFirst)) {
+        unasked.add(id + " was started though it was withdrawn before it was stored");
+      }
+    }
+    return unasked;
+  }
+
   int jobCount() {
     return jobCount;
   }
--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakFaults.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakFaults.java
@@ -41,8 +41,10 @@
 
   private static final long MAX_DOWN_MILLIS = 2_000;
   private static final long SLOW_CALL_MILLIS = 150;
+  private static final double LATE_SHARE = 0.35;
 
   private final StoreStandIn store;
+  private final SoakConfiguration configuration;
   private final SoakVms vms;
   private final SoakWorkers workers;
   private final Random random;
@@ -51,8 +53,14 @@
   private final Map<String, Integer> played = new TreeMap<>();
   private volatile Exception failure;
 
-  SoakFaults(StoreStandIn store, SoakVms vms, SoakWorkers workers, long seed) {
+  SoakFaults(
+      StoreStandIn store,
+      SoakConfiguration configuration,
+      SoakVms vms,
+      SoakWorkers workers,
+      long seed) {
     this.store = store;
+    this.configuration = configuration;
     this.vms = vms;
     this.workers = workers;
     random = new Random(seed);
@@ -78,7 +86,13 @@
             this::freezeVm,
             this::rollVm,
             this::storeAway,
-            this::storeSlow);
+            this::storeSlow,
+            this::storeLate,
+            this::storeLate,
+            this::moveQueue,
+            this::moveQueue,
+            this::removeQueue,
+            this::nameQueuesOnly);
     while (System.currentTimeMillis() < untilMillis) {
       faults.get(random.nextInt(faults.size())).begin(MIN_MILLIS + random.nextInt(RANGE_MILLIS));
       Thread.sleep(random.nextInt(2 * meanMillis));
@@ -243,6 +257,40 @@
         () -> store.setAvailable(true));
   }
 
+  private void storeLate(long forMillis) throws IOException, InterruptedException {
+    play(
+        "store-late",
+        store,
+        () -> store.setLateShare(LATE_SHARE),
+        forMillis,
+        () -> store.setLateShare(0));
+  }
+
+  private void moveQueue(long forMillis) throws IOException, InterruptedException {
+    int queue = random.nextInt(SoakConfiguration.QUEUES);
+    play("move-queue", queue, () -> configuration.moveQueue(queue), forMillis, () -> {});
+  }
+
+  private void removeQueue(long forMillis) throws IOException, InterruptedException {
+    int queue = random.nextInt(SoakConfiguration.QUEUES);
+    play(
+        "remove-queue",
+        queue,
+        () -> configuration.removeQueue(queue),
+        forMillis,
+        () -> configuration.restoreQueue(queue));
+  }
+
+  /** Drops the list of services, so that only those of the queues are named. */
+  private void nameQueuesOnly(long forMillis) throws IOException, InterruptedException {
+    play(
+        "unlist-services",
+        configuration,
+        () -> configuration.setListsServices(false),
+        forMillis,
+        () -> configuration.setListsServices(true));
+  }
+
   private void storeSlow(long forMillis) throws IOException, InterruptedException {
     play(
         "store-slow",
--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakMain.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakMain.java
@@ -8,15 +8,14 @@
 import org.peridotroute.adapter.standin.StoreStandIn;
 import org.peridotroute.bench.Arguments;
 import org.peridotroute.bench.Figures;
-import org.peridotroute.scheduler.port.Topic;
 
 /**
  * Runs entry VMs as processes against workers and a store with faults that overlap, and checks on
- * the side of the workers that no task runs twice, that each accepted job ends, that nothing of a
- * cancelled job runs on, and that no process ends by itself. Options: {@code soak --seed N
- * --seconds N --vms N --workers N --interval MILLIS --fault-interval MILLIS --home DIR --folder
- * DIR}; settings and logs of the VMs go to the folder. Exits with status 1 if a check fails, and
- * with status 2 if the soak could not be played.
+ * the side of the workers that no task runs twice, that tasks run on the service of their queue,
+ * that each accepted job ends, that nothing of a cancelled job starts or runs on, and that no
+ * process ends by itself. Options: {@code soak --seed N --seconds N --vms N --workers N --interval
+ * MILLIS --fault-interval MILLIS --home DIR --folder DIR}; settings and logs of the VMs go to the
+ * folder. Exits with status 1 if a check fails, and with status 2 if the soak could not be played.
  */
 public final class SoakMain {
   private static final System.Logger LOGGER = System.getLogger(SoakMain.class.getName());
@@ -28,16 +27,13 @@
   /** Time within which all jobs have to end after the faults have. */
   private static final long FINISH_MILLIS = 45_000;
 
-  private static final String ROUTE =
-      "{\"name\":\"q%1$d\",\"host\":\"127.0.0.1\",\"path_prefix\":\"/q%1$d/\",\"service\":\"soak\","
-          + "\"priority\":%1$d,\"max_attempts\":3,\"stretch\":2,\"slo_ms\":1000,\"public\":true}";
-
   private final long seed;
   private final long playMillis;
   private final long intervalMillis;
   private final int meanFaultMillis;
   private final StoreStandIn store = new StoreStandIn(APPEND_MILLIS);
   private final SoakWorkers workers;
+  private final SoakConfiguration configuration;
   private final SoakVms vms;
   private final SoakCallers callers;
   private final SoakFaults faults;
@@ -49,6 +45,7 @@
     meanFaultMillis = (int) options.number("--fault-interval", 500);
     String folder = options.text("--folder", "");
     workers = new SoakWorkers(store, (int) options.number("--workers", 24), seed);
+    configuration = new SoakConfiguration(store, workers);
     vms =
         new SoakVms(
             store,
@@ -57,8 +54,8 @@
             folder.isEmpty()
                 ? Files.createTempDirectory("peridotroute-soak")
                 : Files.createDirectories(Path.of(folder)));
-    callers = new SoakCallers(vms, workers, seed);
-    faults = new SoakFaults(store, vms, workers, seed);
+    callers = new SoakCallers(store, vms, workers, seed);
+    faults = new SoakFaults(store, configuration, vms, workers, seed);
   }
 
   /**
@@ -91,17 +88,12 @@
 
   private void start() throws IOException, InterruptedException {
     store.start();
-    store.put(Topic.CONFIGURATION, "config", configuration());
+    configuration.publish();
     workers.start();
     vms.start();
     Thread.sleep(BOOT_MILLIS);
   }
 
-  private static String configuration() {
-    return "{\"version\":1,\"routes\":[%s,%s,%s],\"services\":[{\"name\":\"soak\"}],\"tenants\":[]}"
-        .formatted(ROUTE.formatted(0), ROUTE.formatted(1), ROUTE.formatted(2));
-  }
-
   /** Plays the faults and returns whether all checks hold. */
   private boolean play() throws IOException, InterruptedException {
     long untilMillis = System.currentTimeMillis() + playMillis;
@@ -115,8 +107,12 @@
     ended += vms.restartEnded(vm -> false);
     workers.stop();
     store.stop();
-    report(ended, unfinished);
-    return workers.violations().isEmpty() && unfinished.isEmpty() && ended == 0;
+    List<String> unasked = callers.unasked();
+    report(ended, unfinished, unasked);
+    return workers.violations().isEmpty()
+        && unfinished.isEmpty()
+        && unasked.isEmpty()
+        && ended == 0;
   }
 
   private void call(long untilMillis) {
@@ -137,10 +133,12 @@
     return unfinished;
   }
 
-  private void report(int ended, List<String> unfinished) {
+  private void report(int ended, List<String> unfinished, List<String> unasked) {
     Figures figures = new Figures(System.out);
     figures.print("soak.seed", seed, "");
     figures.print("soak.jobs", callers.jobCount(), "jobs");
+    figures.print("soak.withdrawn", callers.withdrawnCount(), "jobs");
+    figures.print("soak.withdrawn.late", callers.lateCount(), "jobs");
     figures.print("soak.starts", workers.startCount(), "starts");
     workers
         .ends()
@@ -152,9 +150,11 @@
         .forEach((fault, count) -> figures.print("soak.faults." + fault, count, "faults"));
     figures.print("soak.violations", workers.violations().size(), "violations");
     figures.print("soak.unfinished", unfinished.size(), "jobs");
+    figures.print("soak.unasked", unasked.size(), "jobs");
     figures.print("soak.processes.ended", ended, "processes");
     workers.violations().forEach(System.err::println);
     unfinished.forEach(System.err::println);
+    unasked.forEach(System.err::println);
   }
 
   private void stopVms() {
--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakWorkers.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakWorkers.java
@@ -24,8 +24,6 @@
  * Thread-safe; started once and stopped once.
  */
 final class SoakWorkers {
-  static final String SERVICE = "soak";
-
   private static final Capacity CAPACITY = new Capacity(64_000, 131_072, 8);
 
   private static final long CANCEL_MILLIS = 3_000;
@@ -70,7 +68,13 @@
     }
 
     private String newId() {
-      return "w-%d-%d".formatted(number, ++lives);
+      String next = "w-%d-%d".formatted(number, ++lives);
+      oracle.onWorker(next, service());
+      return next;
+    }
+
+    private String service() {
+      return SoakConfiguration.SERVICES.get(number % SoakConfiguration.SERVICES.size());
     }
 
     private WorkerModel newIncarnation() {
@@ -147,7 +151,7 @@
 
     private String entry(long nowMillis) {
       long remainingMillis = draining ? Math.max(0, announcedEndMillis - nowMillis) : -1;
-      return server.entry(SERVICE, "r-" + number / WORKERS_PER_RACK, CAPACITY, remainingMillis);
+      return server.entry(service(), "r-" + number / WORKERS_PER_RACK, CAPACITY, remainingMillis);
     }
   }
 
@@ -200,11 +204,26 @@
     }
   }
 
-  /** Records a job before it is submitted. */
-  void onSubmitted(JobId id, JobRequest request) {
+  /** Records a job before it is submitted to a queue. */
+  void onSubmitted(JobId id, JobRequest request, String queue) {
     synchronized (lock) {
       tasks.addJob(id, request);
       oracle.onSubmitted(id, request);
+      oracle.onQueued(id, queue);
+    }
+  }
+
+  /** Records that a configuration sends a queue to a service, before it is published. */
+  void onQueue(String queue, String service) {
+    synchronized (lock) {
+      oracle.onQueue(queue, service);
+    }
+  }
+
+  /** Returns the number of runs of a job that were started. */
+  int startCount(JobId id) {
+    synchronized (lock) {
+      return oracle.starts(id);
     }
   }
 
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/table/RequestCodec.java
@@ -22,6 +22,11 @@
 
   private RequestCodec() {}
 
+  /** Returns the key of the record that submits a job. */
+  public static String submissionKey(JobId job) {
+    return SUBMISSION_PREFIX + job;
+  }
+
   /**
    * Encodes a submission.
    *
@@ -30,7 +35,7 @@
    */
   public static KeyedRecord writeSubmission(PreparedSubmission prepared) {
     return KeyedRecord.of(
-        SUBMISSION_PREFIX + prepared.submission().id(),
+        submissionKey(prepared.submission().id()),
         JsonText.object(
             text -> {
               SubmissionJson.write(text, prepared.submission());
--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulationOracle.java
@@ -61,6 +61,7 @@
   private final Map<String, Set<String>> servicesByQueue = new HashMap<>();
   private final Map<JobId, String> queueByJob = new HashMap<>();
   private int maxAttempts = Integer.MAX_VALUE;
+  private final Map<JobId, Integer> startsByJob = new HashMap<>();
   private int startCount;
   private boolean lateCall;
 
@@ -127,6 +128,7 @@
   @Override
   public void onStarted(WorkerModel worker, TaskId task, int run, Capacity held) {
     startCount++;
+    startsByJob.merge(task.job(), 1, Integer::sum);
     JobRequest request = requests.get(task.job());
     if (request == null) {
       report(task + " starts although its job was never submitted");
@@ -296,6 +298,11 @@
     return Map.copyOf(endCounts);
   }
 
+  /** Returns the number of task starts of a job. */
+  public int starts(JobId id) {
+    return startsByJob.getOrDefault(id, 0);
+  }
+
   /** Returns the number of task starts. */
   public int starts() {
     return startCount;
