Leave queues with one service at the end of a soak

The soak did not show jobs that stay open since they were accepted for a service that the configuration no longer names: it named the service again before its end.

--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakConfiguration.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakConfiguration.java
@@ -16,6 +16,9 @@
   /** The services, to which the workers belong by turns. */
   static final List<String> SERVICES = List.of("soak-a", "soak-b");
 
+  /** The service that serves all queues in the end. */
+  private static final String LAST_SERVICE = SERVICES.get(0);
+
   /** Number of queues; the number of a queue is its priority. */
   static final int QUEUES = 3;
 
@@ -28,6 +31,7 @@
   private final TreeMap<Integer, String> serviceByQueue = new TreeMap<>();
   private final TreeMap<Integer, String> removedQueues = new TreeMap<>();
   private boolean listsServices = true;
+  private boolean isSettled;
   private int version;
 
   SoakConfiguration(StoreStandIn store, SoakWorkers workers) {
@@ -53,8 +57,9 @@
                     ROUTE.formatted(queueName(entry.getKey()), entry.getValue(), entry.getKey()))
             .collect(Collectors.joining(","));
     String services =
-        (listsServices ? SERVICES : List.<String>of())
-            .stream().map("{\"name\":\"%s\"}"::formatted).collect(Collectors.joining(","));
+        listedServices().stream()
+            .map("{\"name\":\"%s\"}"::formatted)
+            .collect(Collectors.joining(","));
     store.put(
         Topic.CONFIGURATION,
         "config",
@@ -66,6 +71,24 @@
             services));
   }
 
+  private List<String> listedServices() {
+    if (isSettled) {
+      return List.of(LAST_SERVICE);
+    }
+    return listsServices ? SERVICES : List.of();
+  }
+
+  /**
+   * Sends all queues to one service and no longer names the other one, which leaves open jobs that
+   * were accepted for it. To be called once no more queues are moved.
+   */
+  synchronized void settle() {
+    isSettled = true;
+    serviceByQueue.replaceAll((queue, service) -> LAST_SERVICE);
+    removedQueues.replaceAll((queue, service) -> LAST_SERVICE);
+    publish();
+  }
+
   /** Sends a queue to the other service. */
   synchronized void moveQueue(int queue) {
     serviceByQueue.computeIfPresent(
--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakMain.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakMain.java
@@ -100,6 +100,7 @@
     Thread calls = new Thread(() -> call(untilMillis), "callers");
     calls.start();
     int ended = faults.run(untilMillis, meanFaultMillis);
+    configuration.settle();
     faults.stop();
     calls.join();
     ended += vms.restartEnded(vm -> false);
