Split the listener of requests and the claims of capacity from their owners

RequestListener handles the records of the topic of requests, CapacityClaims keeps the capacity that is being freed.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/dispatch/Dispatcher.java
@@ -1,14 +1,12 @@
 package org.peridotroute.scheduler.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
-import java.util.stream.Collectors;
 import org.peridotroute.lib.WorkerId;
 import org.peridotroute.scheduler.load.LoadSummary;
 import org.peridotroute.scheduler.model.Capacity;
@@ -22,7 +20,6 @@
 import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.place.ClosureBound;
 import org.peridotroute.scheduler.place.Closures;
-import org.peridotroute.scheduler.plan.CapacityClaim;
 import org.peridotroute.scheduler.plan.PlacementDecision;
 import org.peridotroute.scheduler.plan.Placer;
 import org.peridotroute.scheduler.plan.PlanView;
@@ -89,7 +86,7 @@
   private final QueueServices queueServices;
   private final PlanViewBuilder viewBuilder;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
-  private final Map<StepId, CapacityClaim> claims = new HashMap<>();
+  private final CapacityClaims claims;
   private final Listener listener;
   private final LoadMeter loadMeter;
   private final ClosureBound closureBound;
@@ -163,16 +160,7 @@
     closureBound = new ClosureBound(settings.policy().closureMillis());
     boolean conduct = settings.policy().has(Feature.WORKER_CONDUCT);
     speeds = new SpeedEstimates(conduct, durationEstimator);
-    health =
-        conduct
-            ? new ConductHealth(
-                time,
-                ports.events(),
-                jobs,
-                durationEstimator,
-                inheritance.records(),
-                this::storeConduct)
-            : new FailureQuarantine(time);
+    health = newHealth(conduct, ports.events());
     viewBuilder =
         new PlanViewBuilder(
             durationEstimator, speeds, stopHistory, queueServices, settings, time.steadyMillis());
@@ -196,12 +184,20 @@
             ports.events(),
             inheritance,
             this);
+    claims = new CapacityClaims(jobs, queueServices, workerManager);
     runStopper = new RunStopper(workerManager, time);
     plannedStarts = new PlannedStarts(workerManager, time);
     departures = new Departures(viewBuilder, runStopper, dispatchEvents, settings.stopMillis());
     workerRecords = new WorkerRecords(inheritance.records(), journal::store, time.steadyMillis());
   }
 
+  private WorkerHealth newHealth(boolean conduct, Events events) {
+    return conduct
+        ? new ConductHealth(
+            time, events, jobs, durationEstimator, inheritance.records(), this::storeConduct)
+        : new FailureQuarantine(time);
+  }
+
   /** Returns the term. */
   public Term term() {
     return term;
@@ -368,14 +364,9 @@
     }
     openJobsLeft = !services.isEmpty();
     workerManager.setServicesOfJobs(services);
-    claims.values().removeIf(this::isOutdated);
+    claims.removeOutdated();
     PlanView view = buildView(viewBuilder, jobs, now, wall);
-    claims
-        .keySet()
-        .retainAll(
-            view.pendingSteps().stream()
-                .map(PlanView.PendingStep::step)
-                .collect(Collectors.toSet()));
+    claims.retain(view.pendingSteps());
     List<PlacementDecision> decisions =
         view.pendingSteps().isEmpty() ? List.of() : placer.decide(view);
     for (PlacementDecision decision : decisions) {
@@ -383,7 +374,7 @@
         claims.remove(start.step());
         assignTasks(start, now);
       } else if (decision instanceof PlacementDecision.Reserve reserve) {
-        claims.put(reserve.claim().step(), reserve.claim());
+        claims.put(reserve.claim());
       } else if (decision instanceof PlacementDecision.Preempt preempt) {
         preempt(preempt);
       }
@@ -393,19 +384,6 @@
     }
   }
 
-  /** Returns whether a claim is on workers of another service than that of its job now. */
-  private boolean isOutdated(CapacityClaim claim) {
-    Job job = jobs.get(claim.step().job());
-    return job == null
-        || claim.tasksByWorker().keySet().stream()
-            .map(workerManager::find)
-            .anyMatch(
-                worker ->
-                    worker == null
-                        || !worker.hasInfo()
-                        || !worker.info().service().equals(serviceOf(job.submission())));
-  }
-
   /** Returns the service whose workers may start tasks of a job now. */
   public String serviceOf(Submission submission) {
     return queueServices.serviceOf(submission);
@@ -413,7 +391,7 @@
 
   private PlanView buildView(PlanViewBuilder builder, Map<JobId, Job> among, long now, long wall) {
     return builder.build(
-        among.values(), among, workerManager.workers(), configuration, claims.values(), now, wall);
+        among.values(), among, workerManager.workers(), configuration, claims.all(), now, wall);
   }
 
   /**
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/SchedulerVm.java
@@ -115,8 +115,7 @@
     operatorRecords = new OperatorRecords(decoder, events, this::onConfiguration);
     long wait = settings.readWaitMillis();
     requests =
-        follower(
-            Topic.REQUESTS, new RequestListener(), wait, settings.followerReadIntervalMillis());
+        follower(Topic.REQUESTS, newRequestListener(), wait, settings.followerReadIntervalMillis());
     progress =
         follower(
             Topic.PROGRESS,
@@ -146,6 +145,16 @@
             jobRequests::decide);
   }
 
+  private RequestListener newRequestListener() {
+    return new RequestListener(
+        entries,
+        writer,
+        earlyCancellations,
+        events,
+        this::isPlanning,
+        new RequestListener.Callbacks(this::onSubmission, this::onCancel, this::restoreSubmission));
+  }
+
   private JobRequests newJobRequests() {
     return new JobRequests(
         entries,
@@ -340,6 +349,16 @@
     }
   }
 
+  /** Stores an accepted submission again whose record an invalid one of the same job replaced. */
+  private void restoreSubmission(JobId id) {
+    writer.store(
+        RequestCodec.writeSubmission(
+            new PreparedSubmission(entries.get(id).submission(), requests.deliveredOffset())),
+        offset -> RequestOutcome.DONE,
+        time.steadyMillis() + settings.requestTimeoutMillis(),
+        new CompletableFuture<>());
+  }
+
   private void onConfiguration(Configuration latest) {
     Set<String> queuesInUse = queuesInUse();
     queueServices.configure(latest, queue -> !requests.isLoaded() || queuesInUse.contains(queue));
@@ -355,98 +374,6 @@
         .collect(Collectors.toSet());
   }
 
-  /** Handles submissions and cancellations read from the log. */
-  private final class RequestListener implements TopicFollower.Listener {
-    @Override
-    public void onRead(boolean empty, long sentMillis, long endOffset) {
-      writer.onLogReply(sentMillis);
-    }
-
-    @Override
-    public void onLoaded(Set<String> keys) {
-      earlyCancellations.idsWithout(keys).forEach(this::forgetCancellation);
-    }
-
-    @Override
-    public void onRecord(KeyedRecord record) {
-      Optional<JobId> cancelled = RequestCodec.cancelledJob(record);
-      if (cancelled.isPresent()) {
-        onCancellationRecord(cancelled.get(), record);
-        return;
-      }
-      Optional<JobId> submitted = RequestCodec.submittedJob(record);
-      if (submitted.isEmpty() || record.value() == null) {
-        return;
-      }
-      try {
-        onSubmissionRecord(submitted.get(), record);
-      } catch (RecordFormatException e) {
-        events.warn("request-unreadable", "key", record.key(), "reason", e.getMessage());
-      }
-    }
-
-    private void onCancellationRecord(JobId id, KeyedRecord record) {
-      if (record.value() == null) {
-        forgetCancellation(id);
-        return;
-      }
-      onCancel(id);
-      if (!isKnown(id)) {
-        earlyCancellations.add(id, record.offset());
-      }
-    }
-
-    private void forgetCancellation(JobId id) {
-      earlyCancellations.remove(id);
-      JobEntry entry = entries.get(id);
-      if (entry == null) {
-        return;
-      }
-      entry.unmarkCancelled();
-      if (entry.submission() == null && entry.progress() == null) {
-        entries.remove(id);
-      }
-    }
-
-    private void onSubmissionRecord(JobId id, KeyedRecord record) throws RecordFormatException {
-      boolean known = isKnown(id);
-      if (known && dispatcher == null) {
-        return;
-      }
-      PreparedSubmission prepared = RequestCodec.readSubmission(record);
-      if (!prepared.isTooLate(record.offset())) {
-        onSubmission(prepared.submission());
-        return;
-      }
-      events.warn(
-          "submission-too-late",
-          "job",
-          id,
-          "offset",
-          record.offset(),
-          "preparedAtOffset",
-          prepared.preparedAtOffset());
-      if (known) {
-        restoreSubmission(id);
-      }
-    }
-
-    /** Stores an accepted submission again whose record an invalid one of the same job replaced. */
-    private void restoreSubmission(JobId id) {
-      writer.store(
-          RequestCodec.writeSubmission(
-              new PreparedSubmission(entries.get(id).submission(), requests.deliveredOffset())),
-          offset -> RequestOutcome.DONE,
-          time.steadyMillis() + settings.requestTimeoutMillis(),
-          new CompletableFuture<>());
-    }
-
-    private boolean isKnown(JobId id) {
-      JobEntry entry = entries.get(id);
-      return entry != null && entry.submission() != null;
-    }
-  }
-
   /** Handles the progress of jobs and the planner's claims read from the log. */
   private final class ProgressListener implements TopicFollower.Listener {
     @Override
