--- a/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
+++ b/org.peridotroute.standin/src/org/peridotroute/standin/world/SimulatedCluster.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,13 +21,11 @@
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.JobRequest;
 import org.peridotroute.scheduler.model.PolicySettings;
-import org.peridotroute.scheduler.model.Submission;
 import org.peridotroute.scheduler.model.TaskId;
 import org.peridotroute.scheduler.model.WorkerInfo;
 import org.peridotroute.scheduler.node.JobExplainer;
 import org.peridotroute.scheduler.node.RequestOutcome;
 import org.peridotroute.scheduler.node.SchedulerVm;
-import org.peridotroute.scheduler.node.SubmitResult;
 import org.peridotroute.scheduler.plan.GangFirstPlacer;
 import org.peridotroute.scheduler.plan.PlanSettings;
 import org.peridotroute.scheduler.port.Events;
@@ -87,8 +84,7 @@
   private final Map<WorkerId, WorkerInfo> foreignEntries = new HashMap<>();
   private final SimulatedWorkerGateway workerGateway;
   private final SimulatedTasks tasks;
-  private final Set<JobId> accepted = new HashSet<>();
-  private final Set<JobId> cancelled = new HashSet<>();
+  private final SimulatedCallers callers;
   private final Events events;
   private boolean crashedWorkersKeepId;
   private long appendDelayMillis = 6_000;
@@ -96,7 +92,6 @@
   private int workerCount;
   private int incarnationCount;
   private int successorCount;
-  private boolean retrying = true;
 
   /** Creates a cluster without optional features. */
   public SimulatedCluster(long seed, int vmCount, int workerCount, Events events) {
@@ -139,6 +134,7 @@
     workerGateway =
         new SimulatedWorkerGateway(
             time, random, oracle, workers, dispatchSettings.callTimeoutMillis());
+    callers = new SimulatedCallers(time, random, vms, tasks, oracle);
     apply(SimulatedRecords.firstConfiguration());
     addWorkers(SERVICE, initialWorkers);
     for (int i = 0; i < vmCount; i++) {
@@ -494,6 +490,11 @@
     tasks.failingTaskShare = share;
   }
 
+  /** Returns the callers. */
+  public SimulatedCallers callers() {
+    return callers;
+  }
+
   /**
    * Submits a job to a random VM, and retries at random VMs until it is accepted.
    *
@@ -502,14 +503,17 @@
    * @param priority priority of its queue
    */
   public void submit(JobId id, JobRequest request, int priority) {
-    onSubmitted(id, request, priority);
-    trySubmit(id, request, priority, time.wallMillis());
+    callers.submit(id, request, priority);
+  }
+
+  /** Cancels a job at a random VM, and retries until the cancellation is acknowledged. */
+  public void cancel(JobId id) {
+    callers.cancel(id);
   }
 
-  private void onSubmitted(JobId id, JobRequest request, int priority) {
-    tasks.addJob(id, request);
-    oracle.onSubmitted(id, request);
-    oracle.onQueued(id, SimulatedRecords.queueName(priority));
+  /** Returns the jobs that were accepted. */
+  public Set<JobId> accepted() {
+    return callers.accepted();
   }
 
   /** Returns the explainer of a VM; it may be asked while no event is being handled. */
@@ -517,85 +521,6 @@
     return vms.get(name).scheduler.explainer();
   }
 
-  /** Submits a job to one VM, without retries. */
-  public CompletableFuture<RequestOutcome> submitAt(String name, JobId id, JobRequest request) {
-    onSubmitted(id, request, 0);
-    SchedulerVm vm = vms.get(name).scheduler;
-    return vm.submit(
-            SimulatedRecords.submission(id, request, 0, vm.configuration(), time.wallMillis()),
-            2_000)
-        .thenApply(SubmitResult::outcome);
-  }
-
-  private SimulatedVm randomLiveVm() {
-    List<SimulatedVm> live =
-        vms.values().stream().filter(vm -> vm.scheduler != null && !vm.paused).toList();
-    return live.isEmpty() ? null : live.get(random.nextInt(live.size()));
-  }
-
-  private void trySubmit(JobId id, JobRequest request, int priority, long wallMillis) {
-    if (!retrying) {
-      return;
-    }
-    SimulatedVm vm = randomLiveVm();
-    boolean configured = vm != null && vm.scheduler.configuration() != null;
-    if (!configured) {
-      time.after(500, () -> trySubmit(id, request, priority, wallMillis));
-      return;
-    }
-    Submission submission =
-        SimulatedRecords.submission(
-            id, request, priority, vm.scheduler.configuration(), wallMillis);
-    var unused =
-        vm.scheduler
-            .submit(submission, 2_000)
-            .thenAccept(
-                result -> {
-                  if (result.outcome() == RequestOutcome.DONE) {
-                    accepted.add(id);
-                  } else {
-                    time.after(500, () -> trySubmit(id, request, priority, wallMillis));
-                  }
-                });
-  }
-
-  /** Cancels a job at one VM, without retries. */
-  public CompletableFuture<RequestOutcome> cancelAt(String name, JobId id) {
-    return vms.get(name)
-        .scheduler
-        .cancel(id, 2_000)
-        .thenApply(
-            outcome -> {
-              if (isAcknowledged(outcome)) {
-                oracle.onCancelled(id);
-              }
-              return outcome;
-            });
-  }
-
-  private static boolean isAcknowledged(RequestOutcome outcome) {
-    return outcome == RequestOutcome.DONE || outcome == RequestOutcome.NO_SUCH_JOB;
-  }
-
-  /** Cancels a job at a random VM, and retries until the cancellation is acknowledged. */
-  public void cancel(JobId id) {
-    SimulatedVm vm = randomLiveVm();
-    if (vm == null) {
-      time.after(500, () -> cancel(id));
-      return;
-    }
-    var unused =
-        cancelAt(vm.name, id)
-            .thenAccept(
-                outcome -> {
-                  if (isAcknowledged(outcome)) {
-                    cancelled.add(id);
-                  } else {
-                    time.after(500, () -> cancel(id));
-                  }
-                });
-  }
-
   /** Returns whether a VM reports that it is ready. */
   public boolean isReady(String name) {
     return vms.get(name).scheduler.isReady();
@@ -611,16 +536,6 @@
     return vms.get(name).scheduler.find(id);
   }
 
-  /** Stops all retries of submissions. */
-  public void stopRetries() {
-    retrying = false;
-  }
-
-  /** Returns the jobs that were accepted. */
-  public Set<JobId> accepted() {
-    return Set.copyOf(accepted);
-  }
-
   /** Returns the phase of a job on each running VM that knows it. */
   public List<JobPhase> phases(JobId id) {
     List<JobPhase> phases = new ArrayList<>();
@@ -635,7 +550,7 @@
   /** Returns the accepted jobs that are unknown to all running VMs or not ended on one of them. */
   public List<JobId> unfinished() {
     List<JobId> open = new ArrayList<>();
-    for (JobId id : accepted) {
+    for (JobId id : accepted()) {
       List<JobPhase> phases = phases(id);
       if (phases.isEmpty() || phases.stream().anyMatch(phase -> !phase.isEnded())) {
         open.add(id);
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/AdmissionTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/AdmissionTest.java
@@ -50,7 +50,7 @@
     List<String> vms = cluster.vmNames();
     Map<JobId, CompletableFuture<RequestOutcome>> outcomes = new HashMap<>();
     for (int i = 1; i <= jobs; i++) {
-      outcomes.put(id(i), cluster.submitAt(vms.get(i % vms.size()), id(i), job(i)));
+      outcomes.put(id(i), cluster.callers().submitAt(vms.get(i % vms.size()), id(i), job(i)));
       cluster.time().pass(200);
     }
     cluster.time().pass(2_500);
@@ -96,7 +96,7 @@
     for (String vm : cluster.vmNames()) {
       for (JobId id : outcomes.keySet()) {
         if (!refused.contains(id)) {
-          repeats.add(cluster.submitAt(vm, id, job(1)));
+          repeats.add(cluster.callers().submitAt(vm, id, job(1)));
         }
       }
     }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/CutOffTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/CutOffTest.java
@@ -70,7 +70,9 @@
   void rejectsASubmissionAtOnce() {
     SimulatedCluster cluster = cluster(LogFault.SILENT);
     var outcome =
-        cluster.submitAt(follower(cluster), new JobId("%016x".formatted(2)), request(100));
+        cluster
+            .callers()
+            .submitAt(follower(cluster), new JobId("%016x".formatted(2)), request(100));
     cluster.time().pass(20);
     assertThat(outcome.getNow(RequestOutcome.UNKNOWN)).isEqualTo(RequestOutcome.NOT_DONE);
   }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/JobSearchTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/JobSearchTest.java
@@ -39,6 +39,7 @@
       JobId id = new JobId("%016x".formatted(seed));
       var outcomes =
           cluster
+              .callers()
               .submitAt("vm-0", id, SMALL_JOB)
               .thenApply(accepted -> findAtOtherVms(cluster, id));
       cluster.time().pass(1_000);
@@ -72,7 +73,7 @@
       SimulatedCluster cluster = new SimulatedCluster(seed, 3, 2, Events.NONE);
       cluster.time().pass(5_000);
       JobId id = new JobId("%016x".formatted(seed));
-      var accepted = cluster.submitAt("vm-0", id, SMALL_JOB);
+      var accepted = cluster.callers().submitAt("vm-0", id, SMALL_JOB);
       while (!accepted.isDone() || !cluster.phases(id).contains(JobPhase.COMPLETED)) {
         cluster.time().pass(1);
       }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/LateSubmissionTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/LateSubmissionTest.java
@@ -56,13 +56,14 @@
   /** Submits the job at a VM whose append gets no reply and is done later. */
   private static void submitLate(SimulatedCluster cluster, String vm) {
     cluster.setLogFault(vm, LogFault.DELAYS_APPENDS);
-    assertThat(await(cluster, cluster.submitAt(vm, JOB, SMALL_JOB)))
+    assertThat(await(cluster, cluster.callers().submitAt(vm, JOB, SMALL_JOB)))
         .isEqualTo(RequestOutcome.UNKNOWN);
     cluster.setLogFault(vm, LogFault.NONE);
   }
 
   private static void cancelUnknown(SimulatedCluster cluster, String vm, JobId id) {
-    assertThat(await(cluster, cluster.cancelAt(vm, id))).isEqualTo(RequestOutcome.NO_SUCH_JOB);
+    assertThat(await(cluster, cluster.callers().cancelAt(vm, id)))
+        .isEqualTo(RequestOutcome.NO_SUCH_JOB);
   }
 
   private static void assertNothingStarted(SimulatedCluster cluster) {
@@ -85,7 +86,7 @@
   private static List<RequestOutcome> flood(SimulatedCluster cluster, int first, int count) {
     List<CompletableFuture<RequestOutcome>> outcomes = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      outcomes.add(cluster.cancelAt("vm-0", new JobId("%016x".formatted(first + i))));
+      outcomes.add(cluster.callers().cancelAt("vm-0", new JobId("%016x".formatted(first + i))));
       if (i % 200 == 0) {
         cluster.time().pass(50);
       }
@@ -130,7 +131,7 @@
       submitLate(cluster, "vm-0");
       cancelUnknown(cluster, "vm-1", JOB);
       assertThat(await(cluster, cluster.find("vm-2", JOB))).isEqualTo(RequestOutcome.NO_SUCH_JOB);
-      assertThat(await(cluster, cluster.submitAt(repeatedAt, JOB, SMALL_JOB)))
+      assertThat(await(cluster, cluster.callers().submitAt(repeatedAt, JOB, SMALL_JOB)))
           .isEqualTo(RequestOutcome.DONE);
       cluster.time().pass(15_000);
       assertCancelled(cluster);
@@ -143,7 +144,7 @@
       SimulatedCluster cluster = cluster(1);
       submitLate(cluster, "vm-0");
       cluster.setLogFault("vm-1", fault);
-      RequestOutcome outcome = await(cluster, cluster.cancelAt("vm-1", JOB));
+      RequestOutcome outcome = await(cluster, cluster.callers().cancelAt("vm-1", JOB));
       assertThat(outcome).isAnyOf(RequestOutcome.UNKNOWN, RequestOutcome.NOT_DONE);
       cluster.setLogFault("vm-1", LogFault.NONE);
       cancelUnknown(cluster, "vm-2", JOB);
@@ -188,7 +189,7 @@
     cluster.setAppendDelayMillis(20_000);
     cluster.workerIds().forEach(worker -> cluster.setListed(worker, false));
     submitLate(cluster, "vm-0");
-    assertThat(await(cluster, cluster.submitAt("vm-1", JOB, SMALL_JOB)))
+    assertThat(await(cluster, cluster.callers().submitAt("vm-1", JOB, SMALL_JOB)))
         .isEqualTo(RequestOutcome.DONE);
     var unused = flood(cluster, 1, FLOOD);
     cluster.time().pass(20_000);
@@ -206,7 +207,7 @@
     submitLate(cluster, "vm-0");
     cluster.setLogFault("vm-0", LogFault.REFUSES);
     cluster.time().pass(2_500);
-    assertThat(await(cluster, cluster.submitAt("vm-0", JOB, SMALL_JOB)))
+    assertThat(await(cluster, cluster.callers().submitAt("vm-0", JOB, SMALL_JOB)))
         .isEqualTo(RequestOutcome.UNKNOWN);
   }
 }
--- a/org.peridotroute.test/tst/org/peridotroute/scheduler/RequestRefusalTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/scheduler/RequestRefusalTest.java
@@ -36,7 +36,7 @@
     cluster.time().pass(1_000);
     assertThat(cluster.isReady("vm-0")).isFalse();
     cluster.setLogFault("vm-0", LogFault.NONE);
-    cluster.stopRetries();
+    cluster.callers().stopRetries();
     cluster.time().pass(3_000);
     assertThat(cluster.isReady("vm-0")).isTrue();
   }
