--- a/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakConfiguration.java
+++ b/org.peridotroute.bench/src/org/peridotroute/bench/soak/SoakConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.peridotroute.adapter.standin.StoreStandIn;
@@ -28,8 +29,8 @@
 
   private final StoreStandIn store;
   private final SoakWorkers workers;
-  private final TreeMap<Integer, String> serviceByQueue = new TreeMap<>();
-  private final TreeMap<Integer, String> removedQueues = new TreeMap<>();
+  private final Map<Integer, String> serviceByQueue = new TreeMap<>();
+  private final Map<Integer, String> serviceByRemovedQueue = new TreeMap<>();
   private boolean listsServices = true;
   private boolean isSettled;
   private int version;
@@ -85,7 +86,7 @@
   synchronized void settle() {
     isSettled = true;
     serviceByQueue.replaceAll((queue, service) -> LAST_SERVICE);
-    removedQueues.replaceAll((queue, service) -> LAST_SERVICE);
+    serviceByRemovedQueue.replaceAll((queue, service) -> LAST_SERVICE);
     publish();
   }
 
@@ -98,13 +99,13 @@
 
   /** Removes a queue. */
   synchronized void removeQueue(int queue) {
-    removedQueues.put(queue, serviceByQueue.remove(queue));
+    serviceByRemovedQueue.put(queue, serviceByQueue.remove(queue));
     publish();
   }
 
   /** Brings back a queue that was removed. */
   synchronized void restoreQueue(int queue) {
-    serviceByQueue.put(queue, removedQueues.remove(queue));
+    serviceByQueue.put(queue, serviceByRemovedQueue.remove(queue));
     publish();
   }
 
