Ask in one place whether a job is known

JobRequests, JobSearch and RequestListener each had the same look-up of a job whose submission is known. JobEntry answers it for all three. LoopbackPortsTest finds its classes by URI, so that a path with spaces works. No change of behaviour.

--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobEntry.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobEntry.java
@@ -1,5 +1,7 @@
 package org.peridotroute.scheduler.node;
 
+import java.util.Map;
+import org.peridotroute.scheduler.model.JobId;
 import org.peridotroute.scheduler.model.JobPhase;
 import org.peridotroute.scheduler.model.Submission;
 
@@ -13,6 +15,12 @@
   private boolean cancelled;
   private byte[] progress;
 
+  /** Returns whether the submission of a job is known here. Any thread. */
+  static boolean isKnown(Map<JobId, JobEntry> entries, JobId id) {
+    JobEntry entry = entries.get(id);
+    return entry != null && entry.submission() != null;
+  }
+
   /** Returns the submission, null until it has been stored here or read from the log. */
   Submission submission() {
     return submission;
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobRequests.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobRequests.java
@@ -84,7 +84,7 @@
   }
 
   CompletableFuture<SubmitResult> submit(Submission submission, long waitMillis) {
-    if (isKnown(submission.id())) {
+    if (JobEntry.isKnown(entries, submission.id())) {
       return completed(SubmitResult.of(RequestOutcome.DONE));
     }
     if (state.logUnreachable().getAsBoolean()) {
@@ -212,7 +212,7 @@
     return storeCancellation(id, deadlineMillis)
         .thenApply(
             outcome ->
-                outcome == RequestOutcome.DONE && !isKnown(id)
+                outcome == RequestOutcome.DONE && !JobEntry.isKnown(entries, id)
                     ? RequestOutcome.NO_SUCH_JOB
                     : outcome);
   }
@@ -233,7 +233,7 @@
   }
 
   CompletableFuture<RequestOutcome> find(JobId id) {
-    if (isKnown(id) && entries.get(id).visiblePhase().isEnded()) {
+    if (JobEntry.isKnown(entries, id) && entries.get(id).visiblePhase().isEnded()) {
       return completed(RequestOutcome.DONE);
     }
     if (state.logUnreachable().getAsBoolean()) {
@@ -255,11 +255,6 @@
         .count();
   }
 
-  private boolean isKnown(JobId id) {
-    JobEntry entry = entries.get(id);
-    return entry != null && entry.submission() != null;
-  }
-
   private long deadlineMillis(long waitMillis) {
     return time.steadyMillis() + Math.min(waitMillis, requestTimeoutMillis);
   }
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobSearch.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/JobSearch.java
@@ -37,13 +37,13 @@
    */
   void find(JobId id, CompletableFuture<RequestOutcome> result) {
     Runnable onUnavailable = () -> result.complete(RequestOutcome.NOT_DONE);
-    if (isKnown(id)) {
+    if (JobEntry.isKnown(entries, id)) {
       refresh(id, result, onUnavailable);
       return;
     }
     requests.read(
         () -> {
-          if (isKnown(id)) {
+          if (JobEntry.isKnown(entries, id)) {
             refresh(id, result, onUnavailable);
           } else {
             result.complete(RequestOutcome.NO_SUCH_JOB);
@@ -52,11 +52,6 @@
         onUnavailable);
   }
 
-  private boolean isKnown(JobId id) {
-    JobEntry entry = entries.get(id);
-    return entry != null && entry.submission() != null;
-  }
-
   private void refresh(JobId id, CompletableFuture<RequestOutcome> result, Runnable onUnavailable) {
     // The planner needs no read: it updates the visible phase itself once a phase is stored.
     if (isPlanning.getAsBoolean() || entries.get(id).visiblePhase().isEnded()) {
--- a/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/RequestListener.java
+++ b/org.peridotroute.scheduler/src/org/peridotroute/scheduler/node/RequestListener.java
@@ -85,7 +85,7 @@
       return;
     }
     callbacks.onCancelled().accept(id);
-    if (!isKnown(id)) {
+    if (!JobEntry.isKnown(entries, id)) {
       earlyCancellations.add(id, record.offset());
     }
   }
@@ -103,7 +103,7 @@
   }
 
   private void onSubmission(JobId id, KeyedRecord record) throws RecordFormatException {
-    boolean known = isKnown(id);
+    boolean known = JobEntry.isKnown(entries, id);
     if (known && !isPlanning.getAsBoolean()) {
       return;
     }
@@ -124,9 +124,4 @@
       callbacks.onReplaced().accept(id);
     }
   }
-
-  private boolean isKnown(JobId id) {
-    JobEntry entry = entries.get(id);
-    return entry != null && entry.submission() != null;
-  }
 }
--- a/org.peridotroute.test/tst/org/peridotroute/standin/LoopbackPortsTest.java
+++ b/org.peridotroute.test/tst/org/peridotroute/standin/LoopbackPortsTest.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.File;
 import java.io.IOException;
+import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
@@ -42,14 +44,12 @@
     assertThat(own).containsNoneIn(others);
   }
 
-  private static List<Integer> findPortsInAnotherProcess() throws IOException {
+  private static List<Integer> findPortsInAnotherProcess() throws IOException, URISyntaxException {
     Process process =
         new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp",
-                location(LoopbackPorts.class)
-                    + System.getProperty("path.separator")
-                    + location(PortFinder.class),
+                location(LoopbackPorts.class) + File.pathSeparator + location(PortFinder.class),
                 PortFinder.class.getName())
             .redirectError(ProcessBuilder.Redirect.INHERIT)
             .start();
@@ -57,7 +57,7 @@
     return output.lines().map(Integer::valueOf).toList();
   }
 
-  private static String location(Class<?> type) {
-    return type.getProtectionDomain().getCodeSource().getLocation().getPath();
+  private static String location(Class<?> type) throws URISyntaxException {
+    return Path.of(type.getProtectionDomain().getCodeSource().getLocation().toURI()).toString();
   }
 }
